--- a/benchmarks/store_calls_benchmark.cpp
+++ b/benchmarks/store_calls_benchmark.cpp
@@ -2,11 +2,11 @@
 // Usage: store_calls_benchmark [instances] [seconds]
 
 #include "core/log_event.h"
-#include "platform/configuration_source.h"
-#include "platform/ledger_watch.h"
-#include "platform/member_registration.h"
-#include "platform/membership_watch.h"
 #include "standins/store/store_server.h"
+#include "store/configuration_source.h"
+#include "store/ledger_watch.h"
+#include "store/member_registration.h"
+#include "store/membership_watch.h"
 
 #include <boost/asio/io_context.hpp>
 #include <log4cplus/initializer.h>
@@ -21,41 +21,40 @@
 
 // The parts of one idle instance that call the store.
 struct idle_instance {
-    std::shared_ptr<platform::store_client> client;
-    std::shared_ptr<platform::member_registration> registration;
-    std::shared_ptr<platform::membership_watch> members;
-    std::shared_ptr<platform::ledger_watch> ledger;
-    std::shared_ptr<platform::configuration_source> configuration;
+    std::shared_ptr<store::store_client> client;
+    std::shared_ptr<store::member_registration> registration;
+    std::shared_ptr<store::membership_watch> members;
+    std::shared_ptr<store::ledger_watch> ledger;
+    std::shared_ptr<store::configuration_source> configuration;
 };
 
 idle_instance start_instance(boost::asio::io_context& context, std::uint16_t port, int index)
 {
     idle_instance result;
-    platform::store_options options;
+    store::store_options options;
     options.addresses = {{"127.0.0.1", port}};
-    result.client = std::make_shared<platform::store_client>(context.get_executor(), options);
+    result.client = std::make_shared<store::store_client>(context.get_executor(), options);
 
     membership::member record;
     record.instance = "entry-" + std::to_string(index);
     record.id = record.instance + ".1";
-    platform::registration_hooks hooks;
+    store::registration_hooks hooks;
     hooks.now = [] { return std::chrono::steady_clock::now(); };
     hooks.on_confirmed = [](core::instant) {};
-    hooks.on_fenced = [](platform::fence_reason) { std::cout << "fenced\n"; };
+    hooks.on_fenced = [](store::fence_reason) { std::cout << "fenced\n"; };
     result.registration =
-        platform::member_registration::create(context.get_executor(), result.client, record, {}, hooks);
+        store::member_registration::create(context.get_executor(), result.client, record, {}, hooks);
 
-    platform::membership_hooks member_hooks;
-    member_hooks.on_view = [](const platform::membership_view&) {};
-    result.members =
-        platform::membership_watch::create(context.get_executor(), result.client, {}, member_hooks);
-    platform::ledger_hooks ledger_hooks;
-    ledger_hooks.on_view = [](const platform::ledger_view&) {};
-    result.ledger = platform::ledger_watch::create(context.get_executor(), result.client, {}, ledger_hooks);
-    platform::configuration_hooks configuration_hooks;
+    store::membership_hooks member_hooks;
+    member_hooks.on_view = [](const store::membership_view&) {};
+    result.members = store::membership_watch::create(context.get_executor(), result.client, {}, member_hooks);
+    store::ledger_hooks ledger_hooks;
+    ledger_hooks.on_view = [](const store::ledger_view&) {};
+    result.ledger = store::ledger_watch::create(context.get_executor(), result.client, {}, ledger_hooks);
+    store::configuration_hooks configuration_hooks;
     configuration_hooks.on_newer = [](const config::configuration&, const std::string&) {};
-    result.configuration = platform::configuration_source::create(context.get_executor(), result.client, {},
-                                                                  configuration_hooks);
+    result.configuration =
+        store::configuration_source::create(context.get_executor(), result.client, {}, configuration_hooks);
     result.registration->start();
     result.members->start();
     result.ledger->start();
--- a/packages/caller/generated_response.cpp
+++ b/packages/caller/generated_response.cpp
@@ -3,7 +3,6 @@
 #include "caller/generated_response.h"
 
 #include "caller/message_text.h"
-#include "dispatch/header_rules.h"
 
 namespace quetzalspan::caller
 {
@@ -14,12 +13,13 @@
 {
 
 std::string to_text(beast::http::response_header<>& header, std::string_view body,
-                    std::string_view request_id, bool is_keep_alive, bool is_head)
+                    std::string_view request_id, bool is_keep_alive, bool is_head,
+                    const dispatch::message_profile& profile)
 {
     header.version(11);
     header.set(beast::http::field::content_length, std::to_string(body.size()));
     if (!request_id.empty()) {
-        header.set(dispatch::request_id_field, request_id);
+        header.set(profile.request_id_field, request_id);
     }
     if (!is_keep_alive) {
         header.set(beast::http::field::connection, "close");
@@ -32,31 +32,54 @@
     return text;
 }
 
+std::string retry_after_text(core::duration time, const dispatch::message_profile& profile)
+{
+    if (!profile.has_fractional_retry_after) {
+        return std::to_string(std::chrono::ceil<std::chrono::seconds>(time).count());
+    }
+    const std::int64_t milliseconds = std::max<std::int64_t>(core::to_milliseconds(time), 1);
+    const std::string fraction = std::to_string(1000 + milliseconds % 1000);
+    return std::to_string(milliseconds / 1000) + "." + fraction.substr(1);
+}
+
 } // namespace
 
+unsigned rejection_status(const rejection& cause, dispatch::outcome result,
+                          const dispatch::message_profile& profile)
+{
+    constexpr unsigned bad_gateway = 502;
+    constexpr unsigned service_unavailable = 503;
+    const unsigned status = dispatch::rule_of(cause.at).status;
+    const bool is_promised = profile.is_503_a_promise && result == dispatch::outcome::not_run;
+    return status == bad_gateway && is_promised ? service_unavailable : status;
+}
+
 std::string make_rejection_text(const rejection& cause, dispatch::outcome result, std::string_view request_id,
-                                bool is_keep_alive, bool is_head)
+                                bool is_keep_alive, bool is_head, const dispatch::message_profile& profile)
 {
     const dispatch::outcome_rule& rule = dispatch::rule_of(cause.at);
     const std::string_view outcome_name = dispatch::outcome_names.name(result);
     beast::http::response_header<> header;
-    header.result(rule.status);
+    header.result(rejection_status(cause, result, profile));
     header.set(beast::http::field::content_type, "application/json");
-    header.set(dispatch::outcome_field, outcome_name);
-    header.set(dispatch::reason_field, rule.reason);
+    if (!profile.outcome_field.empty()) {
+        header.set(profile.outcome_field, outcome_name);
+    }
+    if (!profile.reason_field.empty()) {
+        header.set(profile.reason_field, rule.reason);
+    }
     if (cause.retry_after > core::duration(0)) {
-        const std::chrono::seconds seconds = std::chrono::ceil<std::chrono::seconds>(cause.retry_after);
-        header.set(beast::http::field::retry_after, std::to_string(seconds.count()));
+        header.set(beast::http::field::retry_after, retry_after_text(cause.retry_after, profile));
     }
     // All three values are tokens of this program and need no escapes.
     std::string body = R"({"outcome":")";
     body.append(outcome_name).append(R"(","reason":")").append(rule.reason);
     body.append(R"(","request_id":")").append(request_id).append("\"}\n");
-    return to_text(header, body, request_id, is_keep_alive, is_head);
+    return to_text(header, body, request_id, is_keep_alive, is_head, profile);
 }
 
 std::string make_lookup_text(const http::response& answer, std::string_view request_id, bool is_keep_alive,
-                             bool is_head)
+                             bool is_head, const dispatch::message_profile& profile)
 {
     beast::http::response_header<> header;
     header.result(answer.status);
@@ -64,7 +87,7 @@
     for (const http::header& field : answer.headers) {
         header.set(field.name, field.value);
     }
-    return to_text(header, answer.body, request_id, is_keep_alive, is_head);
+    return to_text(header, answer.body, request_id, is_keep_alive, is_head, profile);
 }
 
 } // namespace quetzalspan::caller
--- a/packages/caller/proxy_hooks.h
+++ b/packages/caller/proxy_hooks.h
@@ -8,6 +8,7 @@
 #include "caller/request_record.h"
 #include "caller/request_summary.h"
 #include "caller/wait_context.h"
+#include "dispatch/retry_policy.h"
 #include "http/message.h"
 
 #include <boost/asio/awaitable.hpp>
@@ -45,6 +46,12 @@
     std::function<std::optional<rejection>(const request_summary&, const admission&, core::instant now)>
         recheck;
 
+    // Decides whether a failed attempt is followed by another one, and charges it to the budget. Without this
+    // hook the retry options of the server decide.
+    std::function<bool(const request_summary&, const admission&, const dispatch::attempt_state&,
+                       dispatch::failure at, core::instant now)>
+        retry;
+
     // Creates the claim of a non-idempotent request with an Idempotency-Key before it is dispatched.
     std::function<boost::asio::awaitable<std::optional<rejection>>(const request_summary&, const admission&,
                                                                    wait_context&)>
--- a/packages/caller/proxy_options.h
+++ b/packages/caller/proxy_options.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "core/time.h"
+#include "dispatch/message_profile.h"
 #include "dispatch/retry_budget.h"
 #include "dispatch/retry_policy.h"
 
@@ -39,6 +40,14 @@
     // After drain(), connections without a request stay open this long, so that requests on their way to the
     // instance are still answered.
     core::duration drain_linger = std::chrono::seconds(1);
+    // Time to open a connection to an endpoint; zero for no limit but the deadline.
+    core::duration connect_time{0};
+    // A response up to this size is received and checked whole before any of it is relayed; zero relays
+    // everything as it comes.
+    std::size_t response_buffer_bytes = 0;
+    // Responses to other requests that are dropped while the own one is awaited on a connection.
+    unsigned foreign_response_limit = 2;
+    dispatch::message_profile profile;
     // Path of the lookup; requests for it go to the lookup hook.
     std::string lookup_path = "/v1/entry";
     dispatch::retry_options retry;
--- a/packages/caller/proxy_server.cpp
+++ b/packages/caller/proxy_server.cpp
@@ -176,7 +176,8 @@
 {
     report_malformed(m_context, at, stream->peer_address());
     const rejection cause{at};
-    const std::string text = make_rejection_text(cause, dispatch::outcome::not_run, "", false, false);
+    const std::string text =
+        make_rejection_text(cause, dispatch::outcome::not_run, "", false, false, m_context.options.profile);
     upstream::write_buffers buffers;
     buffers.push_back(asio::buffer(text));
     const core::instant deadline = std::chrono::steady_clock::now() + m_context.options.response_time;
@@ -221,6 +222,11 @@
     }
 }
 
+void proxy_server::announce_close()
+{
+    m_context.is_draining = true;
+}
+
 void proxy_server::drain(std::function<void()> on_idle)
 {
     m_context.is_draining = true;
--- a/packages/caller/proxy_server.h
+++ b/packages/caller/proxy_server.h
@@ -38,6 +38,10 @@
 
     void start();
 
+    // Answers with "Connection: close" from now on, so that callers move to other instances. Connections are
+    // still accepted and requests served.
+    void announce_close();
+
     // Begins a planned stop: accepts no further connection, answers with "Connection: close" from now on,
     // closes connections that stay without a request for the linger time, and calls the function once the
     // last connection has ended. No request is interrupted.
--- a/packages/caller/request_exchange.cpp
+++ b/packages/caller/request_exchange.cpp
@@ -23,13 +23,19 @@
 constexpr std::size_t idempotency_key_limit_bytes = 256;
 
 // An upstream connection whose rejected response is longer than this is closed instead of read to its end.
-constexpr std::uint64_t shed_body_limit_bytes = 16 * 1024;
+constexpr std::uint64_t dropped_body_limit_bytes = 16 * 1024;
 
 core::instant current_time()
 {
     return std::chrono::steady_clock::now();
 }
 
+// Whether the endpoint itself said that it did not run the request.
+bool is_reported_not_run(failure at)
+{
+    return at == failure::upstream_shed || at == failure::misdirected;
+}
+
 std::string_view to_view(beast::string_view text)
 {
     return {text.data(), text.size()};
@@ -40,8 +46,26 @@
     return {text.data(), text.size()};
 }
 
-std::string make_request_id(proxy_context& context)
+// Whether a response of this status can have a body.
+bool may_have_body(unsigned status)
+{
+    constexpr unsigned no_content = 204;
+    constexpr unsigned not_modified = 304;
+    return status != no_content && status != not_modified;
+}
+
+// A longer identifier would be cut in logs and could not be told from another one.
+constexpr std::size_t request_id_limit_bytes = 128;
+
+std::string make_request_id(proxy_context& context, const beast::http::request_header<>& header)
 {
+    const dispatch::message_profile& profile = context.options.profile;
+    if (profile.keeps_request_id) {
+        const std::string_view id = to_view(header[profile.request_id_field]);
+        if (!id.empty() && id.size() <= request_id_limit_bytes) {
+            return std::string(id);
+        }
+    }
     return context.id_prefix + std::to_string(context.next_id.fetch_add(1, std::memory_order_relaxed));
 }
 
@@ -53,10 +77,10 @@
       m_stream(stream),
       m_strand(strand),
       m_memory(memory),
-      m_key(dispatch::key_header::create(stream.parser().get())),
-      m_request_id(make_request_id(context)),
+      m_key(dispatch::key_header::create(stream.parser().get(), context.options.profile)),
+      m_request_id(make_request_id(context, stream.parser().get())),
       m_allowed_time(dispatch::parse_deadline(stream.parser().get(), context.options.default_deadline,
-                                              context.options.deadline_limit)),
+                                              context.options.deadline_limit, context.options.profile)),
       m_body(stream, context.options, strand, dispatch::expects_continue(stream.parser().get()),
              current_time() + m_allowed_time.value_or(context.options.default_deadline))
 {
@@ -72,7 +96,14 @@
     m_summary.target = to_view(m_header.target());
     m_summary.key_digest = m_key.digest();
     m_summary.key_fault = m_key.fault();
-    m_summary.idempotency_key = to_view(m_header[dispatch::idempotency_key_field]);
+    const dispatch::message_profile& profile = m_context.options.profile;
+    if (!profile.idempotency_key_field.empty()) {
+        m_summary.idempotency_key = to_view(m_header[profile.idempotency_key_field]);
+    }
+    if (!profile.affinity_cookie.empty()) {
+        m_summary.affinity = dispatch::find_cookie(m_header, profile.affinity_cookie);
+    }
+    m_summary.host = to_view(m_header[beast::http::field::host]);
     m_summary.request_id = m_request_id;
     m_summary.peer_address = m_stream.peer_address();
     m_summary.is_idempotent = dispatch::is_idempotent_method(m_summary.method);
@@ -91,7 +122,8 @@
     if (!found && !m_allowed_time) {
         found = failure::malformed_deadline;
     }
-    const std::size_t count = m_header.count(dispatch::idempotency_key_field);
+    const std::string& key_field = m_context.options.profile.idempotency_key_field;
+    const std::size_t count = key_field.empty() ? 0 : m_header.count(key_field);
     const bool is_fit = count == 1 && !m_summary.idempotency_key.empty() &&
                         m_summary.idempotency_key.size() <= idempotency_key_limit_bytes;
     if (!found && count > 0 && !is_fit) {
@@ -172,6 +204,11 @@
         return *rejected;
     }
     m_admission = std::move(std::get<admission>(result));
+    m_summary.is_idempotent = m_admission.is_repeatable.value_or(m_summary.is_idempotent);
+    if (m_admission.time_limit > core::duration(0)) {
+        m_summary.deadline = std::min(m_summary.deadline, m_summary.received + m_admission.time_limit);
+        m_wait.deadline = m_summary.deadline;
+    }
     return std::nullopt;
 }
 
@@ -253,16 +290,23 @@
         if (!cause || !may_have_run_before) {
             cause = failed;
         }
-        const dispatch::attempt_state state{m_attempts, m_summary.is_idempotent, m_body.is_replayable(),
-                                            m_summary.deadline};
-        if (m_has_left || m_is_response_begun ||
-            !dispatch::decide_retry(m_context.options.retry, state, failed->at, current_time(),
-                                    m_context.budget)) {
+        if (m_has_left || m_is_response_begun || !(m_is_retry_granted || may_retry(failed->at))) {
             co_return cause;
         }
+        m_is_retry_granted = false;
     }
 }
 
+bool request_exchange::may_retry(dispatch::failure at)
+{
+    const dispatch::attempt_state state{m_attempts, m_summary.is_idempotent, m_body.is_replayable(),
+                                        m_summary.deadline, m_sends};
+    if (m_context.hooks.retry) {
+        return m_context.hooks.retry(m_summary, m_admission, state, at, current_time());
+    }
+    return dispatch::decide_retry(m_context.options.retry, state, at, current_time(), m_context.budget);
+}
+
 rejection request_exchange::failure_of(upstream::forward_failure at) const
 {
     if (m_body.fault()) {
@@ -289,7 +333,8 @@
         co_await m_body.stop_upload();
     }
     m_current = nullptr;
-    if (exchange.has_written() && !(failed && failed->at == failure::upstream_shed)) {
+    m_sends += exchange.has_written() ? 1 : 0;
+    if (exchange.has_written() && !(failed && is_reported_not_run(failed->at))) {
         m_may_have_run = true;
     }
     if (thrown) {
@@ -304,8 +349,11 @@
                                                                           attempt_result& result)
 {
     const core::instant begun = current_time();
-    const std::optional<upstream::forward_failure> unopened =
-        co_await exchange.open(lease.address(), m_summary.deadline, begun);
+    const core::duration connect_time = m_context.options.connect_time;
+    const bool is_connect_bounded = connect_time > core::duration(0);
+    const std::optional<upstream::forward_failure> unopened = co_await exchange.open(
+        lease.address(),
+        is_connect_bounded ? std::min(m_summary.deadline, begun + connect_time) : m_summary.deadline, begun);
     result.is_dispatched = unopened != upstream::forward_failure::connection_limit;
     if (unopened) {
         co_return failure_of(*unopened);
@@ -317,7 +365,11 @@
             co_return cause;
         }
     }
-    const std::optional<upstream::forward_failure> unwritten = co_await write_request(exchange);
+    const bool is_patience_bounded = lease.patience() > core::duration(0) && m_summary.is_idempotent;
+    exchange.set_deadline(is_patience_bounded
+                              ? std::min(m_summary.deadline, current_time() + lease.patience())
+                              : m_summary.deadline);
+    const std::optional<upstream::forward_failure> unwritten = co_await write_request(exchange, lease);
     if (unwritten && !exchange.has_written()) {
         co_return failure_of(*unwritten);
     }
@@ -330,14 +382,22 @@
     if (unread) {
         co_return failure_of(*unread);
     }
+    exchange.set_deadline(m_summary.deadline);
     const std::optional<rejection> failed = co_await receive(exchange, result);
     co_return failed;
 }
 
 asio::awaitable<std::optional<upstream::forward_failure>>
-request_exchange::write_request(upstream::forwarder& exchange)
+request_exchange::write_request(upstream::forwarder& exchange, const endpoint_lease& lease)
 {
-    dispatch::prepare_upstream_request(m_header, m_request_id, m_summary.deadline - current_time());
+    const dispatch::message_profile& profile = m_context.options.profile;
+    dispatch::prepare_upstream_request(m_header, m_request_id, m_summary.deadline - current_time(), profile);
+    if (!profile.expected_endpoint_field.empty()) {
+        m_header.set(profile.expected_endpoint_field, lease.identity());
+    }
+    if (!profile.workspace_field.empty() && !m_admission.workspace.empty()) {
+        m_header.set(profile.workspace_field, m_admission.workspace);
+    }
     m_header.version(11);
     m_body.set_framing(m_header);
     m_memory.head.clear();
@@ -352,33 +412,109 @@
 asio::awaitable<std::optional<rejection>> request_exchange::receive(upstream::forwarder& exchange,
                                                                     attempt_result& result)
 {
-    const beast::http::response_header<>& header = exchange.response().get().base();
-    result.status = header.result_int();
-    result.is_draining = dispatch::is_drain_response(result.status, header);
-    if (dispatch::is_shed_response(result.status, header)) {
-        std::uint64_t size = 0;
-        bool is_end = false;
-        while (!is_end && size <= shed_body_limit_bytes) {
-            const upstream::read_result part =
-                co_await exchange.read_body(m_memory.relay.data(), m_memory.relay.size());
-            size += part.size;
-            is_end = part.is_end || part.status != read_status::complete;
+    const dispatch::message_profile& profile = m_context.options.profile;
+    for (unsigned dropped = 0;; ++dropped) {
+        const beast::http::response_header<>& header = exchange.response().get().base();
+        result.status = header.result_int();
+        result.is_draining = dispatch::is_drain_response(result.status, header, profile);
+        if (!profile.load_field.empty()) {
+            result.load = std::string(header[profile.load_field]);
+        }
+        const dispatch::response_kind kind =
+            dispatch::classify_response(result.status, header, m_request_id, profile);
+        if (kind == dispatch::response_kind::answer) {
+            break;
+        }
+        const bool is_drained = co_await drain_body(exchange);
+        const bool is_replaced = kind == dispatch::response_kind::foreign && is_drained &&
+                                 dropped < m_context.options.foreign_response_limit;
+        if (!is_replaced) {
+            co_return rejection{failure_of(kind)};
+        }
+        core::info_event("foreign_response_dropped")
+            .with("request_id", m_request_id)
+            .with("status", result.status);
+        const std::optional<upstream::forward_failure> unread = co_await exchange.read_header(m_is_head);
+        if (unread) {
+            co_return failure_of(*unread);
+        }
+    }
+    if (m_context.options.response_buffer_bytes == 0) {
+        m_has_response = true;
+        co_return co_await relay_response(exchange, {});
+    }
+    co_return co_await receive_whole(exchange, result);
+}
+
+failure request_exchange::failure_of(dispatch::response_kind kind)
+{
+    switch (kind) {
+    case dispatch::response_kind::shed:
+        return failure::upstream_shed;
+    case dispatch::response_kind::misdirected:
+        return failure::misdirected;
+    case dispatch::response_kind::answer:
+    case dispatch::response_kind::foreign:
+    case dispatch::response_kind::unverified:
+        return failure::response_unverified;
+    }
+    core::unreachable("every kind of response has a failure");
+}
+
+asio::awaitable<bool> request_exchange::drain_body(upstream::forwarder& exchange)
+{
+    std::uint64_t size = 0;
+    bool is_end = false;
+    while (!is_end && size <= dropped_body_limit_bytes) {
+        const upstream::read_result part =
+            co_await exchange.read_body(m_memory.relay.data(), m_memory.relay.size());
+        if (part.status != read_status::complete) {
+            co_return false;
+        }
+        size += part.size;
+        is_end = part.is_end;
+    }
+    co_return is_end;
+}
+
+asio::awaitable<std::optional<rejection>> request_exchange::receive_whole(upstream::forwarder& exchange,
+                                                                          const attempt_result& result)
+{
+    std::vector<char> whole;
+    bool is_end = exchange.response().is_done();
+    while (!is_end && whole.size() < m_context.options.response_buffer_bytes) {
+        const upstream::read_result part =
+            co_await exchange.read_body(m_memory.relay.data(), m_memory.relay.size());
+        if (part.status != read_status::complete) {
+            co_return rejection{m_has_left ? failure::caller_left : failure::response_incomplete};
         }
-        co_return rejection{failure::upstream_shed};
+        whole.insert(whole.end(), m_memory.relay.data(), m_memory.relay.data() + part.size);
+        is_end = part.is_end;
+    }
+    // Another endpoint may succeed where this one failed; its answer is dropped only if a retry is granted.
+    constexpr unsigned first_server_error = 500;
+    if (result.status >= first_server_error && is_end && m_context.hooks.retry &&
+        may_retry(failure::upstream_error)) {
+        m_is_retry_granted = true;
+        co_return rejection{failure::upstream_error};
     }
     m_has_response = true;
-    const std::optional<rejection> failed = co_await relay_response(exchange);
-    co_return failed;
+    co_return co_await relay_response(exchange, whole);
 }
 
-asio::awaitable<std::optional<rejection>> request_exchange::relay_response(upstream::forwarder& exchange)
+asio::awaitable<std::optional<rejection>> request_exchange::relay_response(upstream::forwarder& exchange,
+                                                                           const std::vector<char>& received)
 {
     beast::http::response_header<> header = std::move(exchange.response().get().base());
     const bool has_length = exchange.response().content_length().has_value();
     const bool has_body = !exchange.response().is_done();
+    const bool is_received = m_context.options.response_buffer_bytes > 0 && !has_body;
     const bool is_chunked = has_body && !has_length && m_version >= 11;
     header.version(11);
-    dispatch::prepare_caller_response(header, m_request_id);
+    dispatch::prepare_caller_response(header, m_request_id, m_context.options.profile);
+    if (is_received && !m_is_head && may_have_body(header.result_int())) {
+        header.set(beast::http::field::content_length, std::to_string(received.size()));
+    }
     if (is_chunked) {
         header.set(beast::http::field::transfer_encoding, "chunked");
     }
@@ -396,19 +532,24 @@
     m_status = header.result_int();
     m_memory.head.clear();
     append_header_text(m_memory.head, header);
-    const std::optional<rejection> failed = co_await relay_body(exchange, is_chunked);
+    const std::optional<rejection> failed = co_await relay_body(exchange, received, is_chunked);
     co_return failed;
 }
 
 asio::awaitable<std::optional<rejection>> request_exchange::relay_body(upstream::forwarder& exchange,
+                                                                       const std::vector<char>& received,
                                                                        bool is_chunked)
 {
     bool is_end = exchange.response().is_done();
     bool is_head_unsent = true;
+    // What was received before the relay began goes with the header.
+    bool is_prefix_sent = received.empty();
     while (is_head_unsent || !is_end) {
         upstream::read_result part;
+        std::optional<chunk_line> line;
         // The header waits only for a part of the body that is there already, which saves a write.
-        const bool reads_body = !is_end && (!is_head_unsent || exchange.has_buffered_body());
+        const bool reads_body =
+            !is_end && is_prefix_sent && (!is_head_unsent || exchange.has_buffered_body());
         if (reads_body) {
             part = co_await exchange.read_body(m_memory.relay.data(), m_memory.relay.size());
             is_end = part.is_end;
@@ -420,7 +561,17 @@
         if (std::exchange(is_head_unsent, false)) {
             buffers.push_back(to_buffer(m_memory.head));
         }
-        std::optional<chunk_line> line;
+        if (!std::exchange(is_prefix_sent, true)) {
+            if (is_chunked) {
+                line.emplace(received.size());
+                buffers.push_back(to_buffer(line->text()));
+            }
+            buffers.push_back(asio::buffer(received));
+            if (is_chunked) {
+                buffers.push_back(to_buffer(chunk_end));
+            }
+            m_response_bytes += received.size();
+        }
         if (is_chunked && part.size > 0) {
             line.emplace(part.size);
             buffers.push_back(to_buffer(line->text()));
@@ -450,7 +601,8 @@
     m_is_keep_alive = m_is_keep_alive && is_discarded && !m_context.is_draining.load();
     m_status = answer.status;
     m_response_bytes = answer.body.size();
-    const std::string text = make_lookup_text(answer, m_request_id, m_is_keep_alive, m_is_head);
+    const std::string text =
+        make_lookup_text(answer, m_request_id, m_is_keep_alive, m_is_head, m_context.options.profile);
     co_await send_generated(text);
     report(std::nullopt, outcome::ran);
 }
@@ -468,9 +620,10 @@
 {
     const bool is_discarded = co_await m_body.discard();
     m_is_keep_alive = m_is_keep_alive && is_discarded && !m_context.is_draining.load();
-    m_status = dispatch::rule_of(cause.at).status;
-    const std::string text =
-        make_rejection_text(cause, outcome_of(cause), m_request_id, m_is_keep_alive, m_is_head);
+    const outcome result = outcome_of(cause);
+    m_status = rejection_status(cause, result, m_context.options.profile);
+    const std::string text = make_rejection_text(cause, result, m_request_id, m_is_keep_alive, m_is_head,
+                                                 m_context.options.profile);
     co_await send_generated(text);
 }
 
--- a/packages/caller/request_exchange.h
+++ b/packages/caller/request_exchange.h
@@ -6,6 +6,7 @@
 #include "caller/proxy_context.h"
 #include "caller/request_body.h"
 #include "dispatch/key_header.h"
+#include "dispatch/response_check.h"
 #include "upstream/forwarder.h"
 
 #include <boost/beast/http/message.hpp>
@@ -57,12 +58,19 @@
     boost::asio::awaitable<std::optional<rejection>>
     exchange_with(upstream::forwarder& exchange, const endpoint_lease& lease, attempt_result& result);
     boost::asio::awaitable<std::optional<upstream::forward_failure>>
-    write_request(upstream::forwarder& exchange);
+    write_request(upstream::forwarder& exchange, const endpoint_lease& lease);
     boost::asio::awaitable<std::optional<rejection>> receive(upstream::forwarder& exchange,
                                                              attempt_result& result);
-    boost::asio::awaitable<std::optional<rejection>> relay_response(upstream::forwarder& exchange);
-    boost::asio::awaitable<std::optional<rejection>> relay_body(upstream::forwarder& exchange,
-                                                                bool is_chunked);
+    // Receives and checks the response before anything of it is relayed.
+    boost::asio::awaitable<std::optional<rejection>> receive_whole(upstream::forwarder& exchange,
+                                                                   const attempt_result& result);
+    // Reads and drops a body. Returns whether it was complete.
+    boost::asio::awaitable<bool> drain_body(upstream::forwarder& exchange);
+    // Relays the response; the beginning of its body may have been received already.
+    boost::asio::awaitable<std::optional<rejection>> relay_response(upstream::forwarder& exchange,
+                                                                    const std::vector<char>& received);
+    boost::asio::awaitable<std::optional<rejection>>
+    relay_body(upstream::forwarder& exchange, const std::vector<char>& received, bool is_chunked);
 
     boost::asio::awaitable<void> answer_lookup();
     boost::asio::awaitable<void> answer_rejection(const rejection& cause);
@@ -70,8 +78,10 @@
     boost::asio::awaitable<void> settle(dispatch::outcome result);
     boost::asio::awaitable<void> finish(const std::optional<rejection>& cause);
 
+    bool may_retry(dispatch::failure at);
     void handle_departure();
     rejection failure_of(upstream::forward_failure at) const;
+    static dispatch::failure failure_of(dispatch::response_kind kind);
     dispatch::outcome outcome_of(const std::optional<rejection>& cause) const;
     void report(const std::optional<rejection>& cause, dispatch::outcome result);
 
@@ -92,6 +102,9 @@
     upstream::forwarder* m_current = nullptr;
     std::vector<std::string> m_tried;
     std::uint32_t m_attempts = 0;
+    // Attempts of which an endpoint can have received the request.
+    std::uint32_t m_sends = 0;
+    bool m_is_retry_granted = false;
     unsigned m_status = 0;
     std::uint64_t m_response_bytes = 0;
     core::duration m_wait_time{0};
--- a/packages/caller/request_summary.h
+++ b/packages/caller/request_summary.h
@@ -25,6 +25,10 @@
     std::string_view idempotency_key;
     std::string_view request_id;
     std::string_view peer_address;
+    // The Host field.
+    std::string_view host;
+    // The object that the request concerns; empty if unknown.
+    std::string_view affinity;
     bool is_idempotent = false;
     core::instant received;
     core::instant deadline;
--- a/packages/dispatch/header_rules.cpp
+++ b/packages/dispatch/header_rules.cpp
@@ -19,7 +19,6 @@
 namespace
 {
 
-constexpr std::string_view control_prefix = "quetzal-";
 // 10^18 bytes; a longer number would overflow the parser's 64-bit count.
 constexpr std::size_t longest_content_length = 18;
 
@@ -154,8 +153,11 @@
     return result;
 }
 
-void remove_control_fields(fields_type& fields)
+void remove_control_fields(fields_type& fields, std::string_view control_prefix)
 {
+    if (control_prefix.empty()) {
+        return;
+    }
     for (fields_type::const_iterator entry = fields.begin(); entry != fields.end();) {
         const std::string_view name(entry->name_string().data(), entry->name_string().size());
         const bool is_control = name.size() >= control_prefix.size() &&
@@ -281,13 +283,13 @@
 }
 
 std::optional<core::duration> parse_deadline(const fields_type& fields, core::duration default_time,
-                                             core::duration limit)
+                                             core::duration limit, const message_profile& profile)
 {
-    const std::size_t count = fields.count(deadline_field);
+    const std::size_t count = fields.count(profile.deadline_field);
     if (count == 0) {
         return std::min(default_time, limit);
     }
-    const beast::string_view text = fields[deadline_field];
+    const beast::string_view text = fields[profile.deadline_field];
     std::int64_t milliseconds = 0;
     const std::from_chars_result parsed =
         std::from_chars(text.data(), text.data() + text.size(), milliseconds);
@@ -326,44 +328,74 @@
     }
 }
 
-void prepare_upstream_request(fields_type& fields, std::string_view request_id, core::duration remaining)
+void prepare_upstream_request(fields_type& fields, std::string_view request_id, core::duration remaining,
+                              const message_profile& profile)
 {
     // Host cannot be removed by naming it in Connection: an upstream would reject the request.
     const std::string host(fields[beast::http::field::host]);
     remove_hop_by_hop(fields);
-    remove_control_fields(fields);
+    remove_control_fields(fields, profile.control_prefix);
+    for (const std::string* owned :
+         {&profile.key_field, &profile.workspace_field, &profile.expected_endpoint_field}) {
+        if (!owned->empty()) {
+            fields.erase(*owned);
+        }
+    }
     fields.erase(beast::http::field::proxy_authorization);
     fields.erase(beast::http::field::expect);
     fields.erase(beast::http::field::content_length);
     if (!host.empty()) {
         fields.set(beast::http::field::host, host);
     }
-    fields.set(request_id_field, request_id);
+    fields.set(profile.request_id_field, request_id);
     const std::int64_t milliseconds = std::max<std::int64_t>(core::to_milliseconds(remaining), 1);
-    fields.set(deadline_field, std::to_string(milliseconds));
+    fields.set(profile.deadline_field, std::to_string(milliseconds));
 }
 
-void prepare_caller_response(fields_type& fields, std::string_view request_id)
+void prepare_caller_response(fields_type& fields, std::string_view request_id, const message_profile& profile)
 {
     // Naming Content-Length in Connection must not remove the framing of the body.
     const std::string length(fields[beast::http::field::content_length]);
     remove_hop_by_hop(fields);
-    remove_control_fields(fields);
+    remove_control_fields(fields, profile.control_prefix);
     if (!length.empty()) {
         fields.set(beast::http::field::content_length, length);
     }
-    fields.set(request_id_field, request_id);
+    fields.set(profile.request_id_field, request_id);
+}
+
+bool is_shed_response(unsigned status, const fields_type& fields, const message_profile& profile)
+{
+    if (!profile.not_run_field.empty()) {
+        return fields.count(profile.not_run_field) > 0;
+    }
+    return status == 503 && fields.count(profile.outcome_field) == 1 &&
+           has_value(fields, profile.outcome_field, outcome_names.name(outcome::not_run));
 }
 
-bool is_shed_response(unsigned status, const fields_type& fields)
+bool is_drain_response(unsigned status, const fields_type& fields, const message_profile& profile)
 {
-    return status == 503 && fields.count(outcome_field) == 1 &&
-           has_value(fields, outcome_field, outcome_names.name(outcome::not_run));
+    return !profile.reason_field.empty() && is_shed_response(status, fields, profile) &&
+           has_value(fields, profile.reason_field, "draining");
 }
 
-bool is_drain_response(unsigned status, const fields_type& fields)
+std::string_view find_cookie(const fields_type& fields, std::string_view name)
 {
-    return is_shed_response(status, fields) && has_value(fields, reason_field, "draining");
+    const std::pair<fields_type::const_iterator, fields_type::const_iterator> cookies =
+        fields.equal_range(beast::http::field::cookie);
+    for (fields_type::const_iterator entry = cookies.first; entry != cookies.second; ++entry) {
+        std::string_view rest(entry->value().data(), entry->value().size());
+        while (!rest.empty()) {
+            const std::size_t end = std::min(rest.find(';'), rest.size());
+            const std::string_view pair = trim(rest.substr(0, end));
+            rest.remove_prefix(std::min(end + 1, rest.size()));
+            if (pair.size() > name.size() && pair.substr(0, name.size()) == name &&
+                pair[name.size()] == '=') {
+                return pair.substr(name.size() + 1);
+            }
+        }
+    }
+    return {};
 }
 
 } // namespace quetzalspan::dispatch
--- a/packages/dispatch/header_rules.h
+++ b/packages/dispatch/header_rules.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "core/time.h"
+#include "dispatch/message_profile.h"
 #include "dispatch/outcome.h"
 
 #include <boost/beast/http/fields.hpp>
@@ -14,13 +15,6 @@
 namespace quetzalspan::dispatch
 {
 
-inline constexpr std::string_view key_field = "Quetzal-Key";
-inline constexpr std::string_view request_id_field = "Quetzal-Request-Id";
-inline constexpr std::string_view deadline_field = "Quetzal-Deadline-Ms";
-inline constexpr std::string_view outcome_field = "Quetzal-Outcome";
-inline constexpr std::string_view reason_field = "Quetzal-Reason";
-inline constexpr std::string_view idempotency_key_field = "Idempotency-Key";
-
 enum class message_kind { request, response };
 
 // Checks the text of a header, from the start line to the empty line, before a parser reads it. A parser
@@ -42,7 +36,8 @@
 // Returns the time that the caller allows, cut to the limit; the default if it names none. Returns no value
 // for a malformed field.
 std::optional<core::duration> parse_deadline(const boost::beast::http::fields& fields,
-                                             core::duration default_time, core::duration limit);
+                                             core::duration default_time, core::duration limit,
+                                             const message_profile& profile = default_message_profile());
 
 // Removes what belongs to one connection: hop-by-hop fields and those that Connection names.
 void remove_hop_by_hop(boost::beast::http::fields& fields);
@@ -51,16 +46,23 @@
 // every other control field, and sets the request identifier and the remaining time. The framing fields are
 // removed as well, since the sender frames the body itself.
 void prepare_upstream_request(boost::beast::http::fields& fields, std::string_view request_id,
-                              core::duration remaining);
+                              core::duration remaining,
+                              const message_profile& profile = default_message_profile());
 
 // Makes the fields of an upstream's response fit to be sent to the caller. Control fields are removed,
 // because they mark responses that quetzalspan generated; framing fields remain except Transfer-Encoding.
-void prepare_caller_response(boost::beast::http::fields& fields, std::string_view request_id);
+void prepare_caller_response(boost::beast::http::fields& fields, std::string_view request_id,
+                             const message_profile& profile = default_message_profile());
 
 // Returns whether an upstream's response says that the request was not run.
-bool is_shed_response(unsigned status, const boost::beast::http::fields& fields);
+bool is_shed_response(unsigned status, const boost::beast::http::fields& fields,
+                      const message_profile& profile = default_message_profile());
 
 // Returns whether an upstream's response says that the upstream is draining.
-bool is_drain_response(unsigned status, const boost::beast::http::fields& fields);
+bool is_drain_response(unsigned status, const boost::beast::http::fields& fields,
+                       const message_profile& profile = default_message_profile());
+
+// Returns the value of a cookie, or nothing if the request has none of that name.
+std::string_view find_cookie(const boost::beast::http::fields& fields, std::string_view name);
 
 } // namespace quetzalspan::dispatch
--- a/packages/dispatch/key_header.cpp
+++ b/packages/dispatch/key_header.cpp
@@ -3,16 +3,15 @@
 #include "dispatch/key_header.h"
 
 #include "core/digest.h"
-#include "dispatch/header_rules.h"
 
 namespace quetzalspan::dispatch
 {
 
-key_header key_header::create(const boost::beast::http::fields& fields)
+key_header key_header::create(const boost::beast::http::fields& fields, const message_profile& profile)
 {
     key_header result;
-    const std::size_t count = fields.count(key_field);
-    const boost::beast::string_view value = fields[key_field];
+    const std::size_t count = fields.count(profile.key_field);
+    const boost::beast::string_view value = fields[profile.key_field];
     if (count == 0) {
         result.m_fault = failure::key_missing;
     } else if (count > 1) {
--- a/packages/dispatch/key_header.h
+++ b/packages/dispatch/key_header.h
@@ -2,6 +2,7 @@
 
 #pragma once
 
+#include "dispatch/message_profile.h"
 #include "dispatch/outcome.h"
 
 #include <boost/beast/http/fields.hpp>
@@ -19,7 +20,8 @@
 class key_header
 {
 public:
-    static key_header create(const boost::beast::http::fields& fields);
+    static key_header create(const boost::beast::http::fields& fields,
+                             const message_profile& profile = default_message_profile());
 
     // Why the header is unfit; no value if there is a digest.
     std::optional<failure> fault() const { return m_fault; }
--- a/packages/dispatch/outcome.cpp
+++ b/packages/dispatch/outcome.cpp
@@ -13,7 +13,7 @@
 {
 
 // In the order of the enumeration, which makes a row's index the value of its failure.
-constexpr std::array<outcome_rule, 39> rules{{
+constexpr std::array<outcome_rule, 44> rules{{
     {failure::malformed_header, outcome::not_run, 400, "malformed-header", false, false},
     {failure::malformed_target, outcome::not_run, 400, "malformed-target", false, false},
     {failure::ambiguous_framing, outcome::not_run, 400, "ambiguous-framing", false, false},
@@ -52,6 +52,11 @@
     {failure::response_timeout, outcome::unknown, 504, "response-timeout", true, false},
     {failure::malformed_response, outcome::unknown, 502, "malformed-response", false, false},
     {failure::body_truncated, outcome::ran, 0, "body-truncated", false, false},
+    {failure::response_incomplete, outcome::unknown, 502, "response-incomplete", true, false},
+    {failure::response_unverified, outcome::unknown, 502, "response-unverified", true, false},
+    {failure::misdirected, outcome::not_run, 503, "misdirected", true, true},
+    {failure::upstream_error, outcome::ran, 502, "upstream-error", true, false},
+    {failure::no_configuration, outcome::not_run, 503, "no-configuration", false, false},
     {failure::caller_left, outcome::unknown, 0, "caller-left", false, false},
     {failure::internal_error, outcome::unknown, 500, "internal-error", false, false},
 }};
--- a/packages/dispatch/outcome.h
+++ b/packages/dispatch/outcome.h
@@ -58,6 +58,16 @@
     response_timeout,
     malformed_response,
     body_truncated,
+    // The response ended early and nothing of it was relayed.
+    response_incomplete,
+    // A success that lacks the proof that it is the endpoint's whole answer.
+    response_unverified,
+    // Another endpoint has the address and did not run the request.
+    misdirected,
+    // The upstream answered with a server error that another endpoint may not have.
+    upstream_error,
+    // No configuration is known yet.
+    no_configuration,
     caller_left,
     internal_error,
 };
--- /dev/null
+++ b/packages/dispatch/response_check.cpp
@@ -0,0 +1,57 @@
+// Implements the check of response headers.
+
+#include "dispatch/response_check.h"
+
+#include "dispatch/header_rules.h"
+
+namespace quetzalspan::dispatch
+{
+
+namespace
+{
+
+constexpr unsigned misdirected_status = 421;
+
+bool is_success(unsigned status)
+{
+    return status >= 200 && status < 300;
+}
+
+bool is_verified(const boost::beast::http::fields& fields, bool has_own_id, const message_profile& profile)
+{
+    if (!profile.signature_field.empty() && fields.count(profile.signature_field) != 1) {
+        return false;
+    }
+    if (profile.is_request_id_echoed && !has_own_id) {
+        return false;
+    }
+    // Nobody asked for an encoding, so an encoded body is not the one that the endpoint signed.
+    return profile.signature_field.empty() || fields.count(boost::beast::http::field::content_encoding) == 0;
+}
+
+} // namespace
+
+response_kind classify_response(unsigned status, const boost::beast::http::fields& fields,
+                                std::string_view request_id, const message_profile& profile)
+{
+    bool has_own_id = false;
+    if (profile.is_request_id_echoed) {
+        const boost::beast::string_view echoed = fields[profile.request_id_field];
+        has_own_id = std::string_view(echoed.data(), echoed.size()) == request_id;
+        if (!echoed.empty() && !has_own_id) {
+            return response_kind::foreign;
+        }
+    }
+    if (!profile.expected_endpoint_field.empty() && status == misdirected_status) {
+        return response_kind::misdirected;
+    }
+    if (is_shed_response(status, fields, profile)) {
+        return response_kind::shed;
+    }
+    if (is_success(status) && !is_verified(fields, has_own_id, profile)) {
+        return response_kind::unverified;
+    }
+    return response_kind::answer;
+}
+
+} // namespace quetzalspan::dispatch
--- a/packages/dispatch/retry_budget.cpp
+++ b/packages/dispatch/retry_budget.cpp
@@ -29,12 +29,18 @@
 
 void retry_budget::record_request()
 {
+    const std::int64_t limit = m_limit.load(std::memory_order_relaxed);
     std::int64_t tokens = m_tokens.load(std::memory_order_relaxed);
-    while (tokens < m_limit && !m_tokens.compare_exchange_weak(tokens, std::min(tokens + m_share, m_limit),
-                                                               std::memory_order_relaxed)) {
+    while (tokens != limit && !m_tokens.compare_exchange_weak(tokens, std::min(tokens + m_share, limit),
+                                                              std::memory_order_relaxed)) {
     }
 }
 
+void retry_budget::set_limit(double limit)
+{
+    m_limit.store(to_micro(limit), std::memory_order_relaxed);
+}
+
 bool retry_budget::try_spend()
 {
     std::int64_t tokens = m_tokens.load(std::memory_order_relaxed);
--- a/packages/dispatch/retry_budget.h
+++ b/packages/dispatch/retry_budget.h
@@ -30,14 +30,17 @@
     // Spends one retry. Returns false, spending nothing, if less than one is left.
     bool try_spend();
 
+    // Changes the most retries that can be saved up.
+    void set_limit(double limit);
+
     // Retries available now.
     double available() const;
 
 private:
     // Micro-retries, so that shares add up without rounding errors.
     std::int64_t m_share;
-    std::int64_t m_limit;
-    // Between 0 and m_limit.
+    std::atomic<std::int64_t> m_limit;
+    // At least 0; above m_limit only until the next spending or earning.
     std::atomic<std::int64_t> m_tokens;
 };
 
--- a/packages/dispatch/retry_policy.h
+++ b/packages/dispatch/retry_policy.h
@@ -26,6 +26,8 @@
     // Whether the whole body can be sent once more.
     bool is_body_replayable = true;
     core::instant deadline;
+    // Attempts of which an endpoint can have received the request.
+    std::uint32_t sends = 0;
 };
 
 // Returns whether to try again, and takes one retry from the budget if so.
--- /dev/null
+++ b/packages/edge/control_feeds.cpp
@@ -0,0 +1,229 @@
+// Implements the feeds from the store.
+
+#include "edge/control_feeds.h"
+
+#include "core/log_event.h"
+
+namespace quetzalspan::edge
+{
+
+namespace
+{
+
+// Confirmations that stop for longer than this beyond their usual interval mean that the store was away.
+constexpr core::duration outage_margin = std::chrono::milliseconds(900);
+
+core::instant current_time()
+{
+    return std::chrono::steady_clock::now();
+}
+
+} // namespace
+
+bool control_feeds::outage_detector::ends_outage(core::instant now)
+{
+    const bool is_end = m_last && now - *m_last > m_limit;
+    m_last = now;
+    return is_end;
+}
+
+control_feeds::control_feeds(const boost::asio::any_io_executor& executor,
+                             std::shared_ptr<store::key_value_store> store, const deployment& site,
+                             const instance_options& options, feed_targets targets)
+    : m_store(std::move(store)),
+      m_site(site),
+      m_options(options),
+      m_targets(std::move(targets)),
+      m_endpoint_outage(options.endpoint_watch + options.endpoint_pause + outage_margin),
+      m_instance_outage(options.instance_watch + outage_margin),
+      m_configurations(make_configurations(executor)),
+      m_endpoints(make_endpoints(executor)),
+      m_instances(make_instances(executor))
+{
+}
+
+void control_feeds::start()
+{
+    m_configurations->start();
+    m_endpoints->start();
+    m_instances->start();
+}
+
+void control_feeds::stop()
+{
+    m_configurations->stop();
+    m_endpoints->stop();
+    m_instances->stop();
+}
+
+std::shared_ptr<store::prefix_mirror>
+control_feeds::make_configurations(const boost::asio::any_io_executor& executor)
+{
+    store::mirror_options options;
+    options.prefix = m_site.operator_prefix;
+    options.watch_timeout = m_options.configuration_watch;
+    options.watch_pause = core::duration(0);
+    options.retry_pause = m_options.store_retry;
+    options.list_interval = core::duration(0);
+    store::prefix_mirror::hooks hooks;
+    hooks.on_entry = [this](const std::string& key, const store::store_entry* entry) {
+        on_operator_entry(key, entry);
+    };
+    hooks.on_update = [this] { on_operator_update(); };
+    hooks.on_confirmed = [this](core::boot_instant sent) { m_targets.state.confirm(sent); };
+    return store::prefix_mirror::create(executor, m_store, options, hooks);
+}
+
+std::shared_ptr<store::prefix_mirror>
+control_feeds::make_endpoints(const boost::asio::any_io_executor& executor)
+{
+    store::mirror_options options;
+    options.prefix = m_site.endpoint_prefix;
+    options.watch_timeout = m_options.endpoint_watch;
+    options.watch_pause = m_options.endpoint_pause;
+    options.retry_pause = m_options.store_retry;
+    options.list_interval = core::duration(0);
+    store::prefix_mirror::hooks hooks;
+    hooks.on_entry = [this](const std::string& key, const store::store_entry* entry) {
+        on_endpoint_entry(key, entry);
+    };
+    hooks.on_update = [] {};
+    hooks.on_answer = [this] {
+        if (m_endpoint_outage.ends_outage(current_time())) {
+            m_targets.endpoints.begin_absence_grace(current_time());
+        }
+    };
+    return store::prefix_mirror::create(executor, m_store, options, hooks);
+}
+
+std::shared_ptr<store::prefix_mirror>
+control_feeds::make_instances(const boost::asio::any_io_executor& executor)
+{
+    store::mirror_options options;
+    options.prefix = std::string(instance_prefix);
+    options.watch_timeout = m_options.instance_watch;
+    options.watch_pause = core::duration(0);
+    options.retry_pause = m_options.store_retry;
+    options.list_interval = core::duration(0);
+    store::prefix_mirror::hooks hooks;
+    hooks.on_entry = [this](const std::string& key, const store::store_entry* entry) {
+        on_instance_entry(key, entry);
+    };
+    hooks.on_update = [this] { update_peers(); };
+    hooks.on_answer = [this] {
+        if (m_instance_outage.ends_outage(current_time())) {
+            m_targets.instances.begin_absence_grace(current_time());
+        }
+    };
+    hooks.on_confirmed = [this](core::boot_instant) {
+        if (m_targets.instances.expire(current_time())) {
+            update_peers();
+        }
+    };
+    return store::prefix_mirror::create(executor, m_store, options, hooks);
+}
+
+void control_feeds::log_findings(const std::string& key, std::uint64_t revision, const core::findings& found)
+{
+    if (!found.is_empty()) {
+        core::warning_event("entry_rejected")
+            .with("key", key)
+            .with("revision", revision)
+            .with("findings", found.to_text());
+    }
+}
+
+void control_feeds::on_operator_entry(const std::string& key, const store::store_entry* entry)
+{
+    if (entry == nullptr || !m_site.is_configuration(key)) {
+        return;
+    }
+    core::findings found;
+    std::optional<routing::configuration> configuration = m_site.read_configuration(*entry, found);
+    log_findings(key, entry->revision, found);
+    if (!configuration) {
+        return;
+    }
+    const route_table_pointer table = routing::route_table::create(std::move(*configuration));
+    const bool is_first = m_targets.state.table() == nullptr;
+    if (!m_targets.state.publish(table)) {
+        core::info_event("older_configuration_ignored").with("version", table->version());
+        return;
+    }
+    m_targets.endpoints.set_table(table);
+    std::vector<quota::workspace_limit> limits;
+    for (const routing::workspace& workspace : table->source().workspaces) {
+        limits.push_back({workspace.name, workspace.rate, workspace.burst});
+    }
+    m_targets.limits.set_limits(limits, current_time());
+    core::info_event("configuration_in_force")
+        .with("version", table->version())
+        .with("revision", entry->revision)
+        .with("routes", table->source().routes.size())
+        .with("workspaces", table->source().workspaces.size());
+    if (is_first && m_targets.on_configured) {
+        m_targets.on_configured();
+    }
+}
+
+void control_feeds::on_operator_update()
+{
+    std::set<std::string> zones;
+    for (const auto& [key, entry] : m_configurations->entries()) {
+        const std::optional<std::string> zone = m_site.read_evacuation(key);
+        if (zone) {
+            zones.insert(*zone);
+        }
+    }
+    m_targets.endpoints.set_evacuated_zones(zones, current_time());
+}
+
+void control_feeds::on_endpoint_entry(const std::string& key, const store::store_entry* entry)
+{
+    if (entry == nullptr) {
+        m_targets.endpoints.remove(m_site.endpoint_id(key), current_time());
+        return;
+    }
+    core::findings found;
+    const std::optional<placement::endpoint_record> record = m_site.read_endpoint(*entry, found);
+    log_findings(key, entry->revision, found);
+    if (!record) {
+        m_targets.endpoints.remove(m_site.endpoint_id(key), current_time());
+        return;
+    }
+    m_targets.endpoints.apply(*record, !m_endpoints->is_listed(), current_time());
+}
+
+void control_feeds::on_instance_entry(const std::string& key, const store::store_entry* entry)
+{
+    const std::string name = key.substr(instance_prefix.size());
+    if (entry == nullptr) {
+        m_targets.instances.remove(name, current_time());
+        core::info_event("instance_gone").with("peer", name);
+        return;
+    }
+    try {
+        const instance_record record = parse_instance_record(entry->value, key);
+        if (record.instance == m_options.instance) {
+            m_targets.own.set_known_revision(entry->revision);
+        }
+        m_targets.instances.put(record, current_time());
+        core::info_event("instance_known")
+            .with("peer", record.instance)
+            .with("phase", instance_phase_names.name(record.phase))
+            .with("revision", entry->revision);
+    } catch (const core::findings_error& error) {
+        core::warning_event("entry_rejected").with("key", key).with("findings", error.what());
+    }
+}
+
+void control_feeds::update_peers()
+{
+    std::vector<std::string> names;
+    for (const instance_record& peer : m_targets.instances.peers()) {
+        names.push_back(peer.instance);
+    }
+    m_targets.limits.set_peers(names, current_time());
+}
+
+} // namespace quetzalspan::edge
--- /dev/null
+++ b/packages/edge/control_feeds.h
@@ -0,0 +1,83 @@
+// Turns what the store holds into what the request path reads: configurations, evacuations, endpoints and
+// instances.
+
+#pragma once
+
+#include "core/findings.h"
+#include "edge/deployment.h"
+#include "edge/registration.h"
+#include "edge/roster.h"
+#include "edge/traffic_state.h"
+#include "edge/upstreams.h"
+#include "quota/fleet_quota.h"
+#include "store/prefix_mirror.h"
+
+#include <functional>
+#include <memory>
+
+namespace quetzalspan::edge
+{
+
+// What the feeds write to. Everything must outlive them.
+struct feed_targets {
+    traffic_state& state;
+    upstreams& endpoints;
+    roster& instances;
+    quota::fleet_quota& limits;
+    registration& own;
+    // Called when the first configuration is in force.
+    std::function<void()> on_configured;
+};
+
+// Runs on the executor given, which must be one thread or a strand.
+class control_feeds
+{
+public:
+    control_feeds(const boost::asio::any_io_executor& executor, std::shared_ptr<store::key_value_store> store,
+                  const deployment& site, const instance_options& options, feed_targets targets);
+
+    control_feeds(const control_feeds&) = delete;
+    control_feeds& operator=(const control_feeds&) = delete;
+
+    void start();
+    void stop();
+
+    // Whether endpoints were listed at least once.
+    bool has_endpoints() const { return m_endpoints->is_listed(); }
+
+private:
+    // Notices when confirmations of one mirror stopped for a while, which means that leases may have lapsed.
+    class outage_detector
+    {
+    public:
+        explicit outage_detector(core::duration limit) : m_limit(limit) {}
+        // Returns whether the confirmation ends an outage.
+        bool ends_outage(core::instant now);
+
+    private:
+        core::duration m_limit;
+        std::optional<core::instant> m_last;
+    };
+
+    std::shared_ptr<store::prefix_mirror> make_configurations(const boost::asio::any_io_executor& executor);
+    std::shared_ptr<store::prefix_mirror> make_endpoints(const boost::asio::any_io_executor& executor);
+    std::shared_ptr<store::prefix_mirror> make_instances(const boost::asio::any_io_executor& executor);
+    void on_operator_entry(const std::string& key, const store::store_entry* entry);
+    void on_operator_update();
+    void on_endpoint_entry(const std::string& key, const store::store_entry* entry);
+    void on_instance_entry(const std::string& key, const store::store_entry* entry);
+    void update_peers();
+    static void log_findings(const std::string& key, std::uint64_t revision, const core::findings& found);
+
+    std::shared_ptr<store::key_value_store> m_store;
+    const deployment& m_site;
+    const instance_options& m_options;
+    feed_targets m_targets;
+    outage_detector m_endpoint_outage;
+    outage_detector m_instance_outage;
+    std::shared_ptr<store::prefix_mirror> m_configurations;
+    std::shared_ptr<store::prefix_mirror> m_endpoints;
+    std::shared_ptr<store::prefix_mirror> m_instances;
+};
+
+} // namespace quetzalspan::edge
--- /dev/null
+++ b/packages/edge/instance.cpp
@@ -0,0 +1,303 @@
+// Implements the wiring and the life of an edge instance.
+
+#include "edge/instance.h"
+
+#include "core/log_event.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+namespace quetzalspan::edge
+{
+
+namespace asio = boost::asio;
+
+namespace
+{
+
+constexpr core::duration tick_interval = std::chrono::milliseconds(200);
+constexpr core::duration pool_check_interval = std::chrono::seconds(1);
+constexpr core::duration stop_poll_interval = std::chrono::milliseconds(20);
+// What is left for withdrawing the record and ending the process.
+constexpr core::duration stop_reserve = std::chrono::milliseconds(250);
+
+// Endpoints close idle connections after several seconds; a connection is given up well before, so that a
+// request is seldom written to one that is just being closed.
+constexpr core::duration idle_connection_lifetime = std::chrono::seconds(5);
+constexpr core::duration endpoint_connect_time = std::chrono::milliseconds(250);
+constexpr std::size_t response_buffer_bytes = 256 * 1024;
+
+core::instant current_time()
+{
+    return std::chrono::steady_clock::now();
+}
+
+asio::awaitable<void> pause(core::duration time)
+{
+    asio::steady_timer timer(co_await asio::this_coro::executor, time);
+    boost::system::error_code ignored;
+    co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+}
+
+void log_end(const char* task, const std::exception_ptr& thrown)
+{
+    if (!thrown) {
+        return;
+    }
+    try {
+        std::rethrow_exception(thrown);
+    } catch (const std::exception& error) {
+        core::error_event("task_failed").with("task", task).with("error", error.what());
+    }
+}
+
+} // namespace
+
+upstream_options instance::make_upstream_options(const instance_options& options)
+{
+    upstream_options result;
+    result.own_region = options.region;
+    result.cold_factor = options.cold_factor;
+    result.cold_slack = options.cold_slack;
+    return result;
+}
+
+request_rule_options instance::make_rule_options(const instance_options& options)
+{
+    request_rule_options result;
+    result.key_lifetime = options.key_lifetime;
+    result.denial_lifetime = options.denial_lifetime;
+    result.retry_share = options.retry_share;
+    result.retry_slack = options.retry_slack;
+    return result;
+}
+
+quota::quota_options instance::make_quota_options(const instance_options& options)
+{
+    quota::quota_options result;
+    result.window = options.quota_window;
+    result.tolerated_share = options.quota_tolerated_share;
+    result.tolerated_requests = options.quota_tolerated_requests;
+    return result;
+}
+
+instance::instance(instance_options options, deployment site)
+    : m_options(std::move(options)),
+      m_site(std::move(site)),
+      m_request_context(static_cast<int>(m_options.request_threads)),
+      m_request_work(m_request_context.get_executor()),
+      m_signals(m_control_context, SIGTERM, SIGINT, SIGHUP),
+      m_roster({m_options.instance, m_options.peer_lifetime}),
+      m_limits(make_quota_options(m_options)),
+      m_upstreams(
+          make_upstream_options(m_options), [this] { return m_roster.position(); }, m_metrics),
+      m_rules(
+          make_rule_options(m_options), m_state, m_upstreams, m_limits, [this] { return m_roster.size(); },
+          m_metrics)
+{
+}
+
+instance::~instance()
+{
+    m_request_context.stop();
+    for (std::thread& thread : m_request_threads) {
+        thread.join();
+    }
+}
+
+std::shared_ptr<instance> instance::create(instance_options options, deployment site)
+{
+    const std::shared_ptr<instance> result(new instance(std::move(options), std::move(site)));
+    result->create_callers();
+    result->create_control();
+    result->add_metrics();
+    return result;
+}
+
+void instance::create_callers()
+{
+    upstream::connection_pool_options pool_options;
+    pool_options.idle_lifetime = idle_connection_lifetime;
+    m_pool = std::make_shared<upstream::connection_pool>(m_request_context.get_executor(), pool_options);
+    caller::proxy_options options;
+    options.profile = m_site.profile;
+    options.connect_time = endpoint_connect_time;
+    options.response_buffer_bytes = response_buffer_bytes;
+    options.lookup_path.clear();
+    m_callers = caller::proxy_server::create(m_request_context.get_executor(), m_options.callers.host,
+                                             m_options.callers.port, options, m_rules.hooks(), m_pool);
+}
+
+instance_record instance::own_record() const
+{
+    instance_record result;
+    result.instance = m_options.instance;
+    result.availability_zone = m_options.availability_zone;
+    result.region = m_options.region;
+    result.callers = m_options.callers;
+    result.peers = m_options.peers;
+    result.phase = m_state.is_leaving ? instance_phase::leaving : instance_phase::serving;
+    return result;
+}
+
+void instance::create_control()
+{
+    const asio::any_io_executor executor = m_control_context.get_executor();
+    m_store = m_site.create_store(executor);
+    m_registration =
+        registration::create(executor, m_store, own_record(),
+                             {m_options.lease_time, m_options.lease_renewal, m_options.store_retry});
+    feed_targets targets{m_state, m_upstreams, m_roster, m_limits, *m_registration, {}};
+    targets.on_configured = [this] { core::info_event("ready").with("instance", m_options.instance); };
+    m_feeds = std::make_unique<control_feeds>(executor, m_store, m_site, m_options, std::move(targets));
+    demand_exchange::hooks hooks;
+    hooks.peers = [this] { return m_roster.peers(); };
+    hooks.own_demand = [this] { return m_limits.demands(current_time()); };
+    hooks.on_demand = [this](const demand_message& message) {
+        m_roster.record_heard(message.instance, current_time());
+        m_limits.record_demand(message.instance, {current_time(), message.rates});
+    };
+    m_demand = demand_exchange::create(executor, m_options.instance, m_options.peers,
+                                       m_options.demand_interval, std::move(hooks));
+}
+
+void instance::add_interface(const socket_address& address, http::request_handler handler)
+{
+    const std::shared_ptr<http::server> server = http::server::create(
+        m_control_context.get_executor(), address.host, address.port, {}, std::move(handler));
+    server->start();
+    m_interfaces.push_back(server);
+}
+
+void instance::add_metrics()
+{
+    m_metrics.add_gauge_hook("configuration_version", "Version of the configuration in force.", {}, [this] {
+        const route_table_pointer table = m_state.table();
+        return table ? static_cast<double>(table->version()) : 0.0;
+    });
+    m_metrics.add_gauge_hook("ready", "Whether the instance takes requests.", {},
+                             [this] { return is_ready() ? 1.0 : 0.0; });
+    m_metrics.add_gauge_hook("active_requests", "Requests under way.", {},
+                             [this] { return static_cast<double>(m_callers->active_requests()); });
+    m_metrics.add_gauge_hook("caller_connections", "Open connections of callers.", {},
+                             [this] { return static_cast<double>(m_callers->connections()); });
+    m_metrics.add_gauge_hook("known_endpoints", "Endpoints that discovery has named.", {},
+                             [this] { return static_cast<double>(m_upstreams.size()); });
+    m_metrics.add_gauge_hook("known_instances", "Instances of the fleet, this one included.", {},
+                             [this] { return static_cast<double>(m_roster.size()); });
+    m_metrics.add_counter_hook("upstream_connections_total", "Connections opened to endpoints.", {},
+                               [this] { return static_cast<double>(m_pool->created_connections()); });
+    if (m_options.metrics.port != 0) {
+        add_interface(m_options.metrics, [this](http::request) -> asio::awaitable<http::response> {
+            http::response answer;
+            answer.content_type = "text/plain; version=0.0.4";
+            answer.body = m_metrics.to_text();
+            co_return answer;
+        });
+    }
+}
+
+bool instance::is_ready() const
+{
+    return !m_state.is_leaving && m_state.table() != nullptr && m_feeds->has_endpoints();
+}
+
+std::vector<instance_record> instance::look_up(const std::string& client_region) const
+{
+    return m_roster.look_up(client_region, own_record(), current_time());
+}
+
+void instance::await_signal()
+{
+    m_signals.async_wait([this](const boost::system::error_code& error, int signal) {
+        if (!error) {
+            handle_signal(signal);
+            await_signal();
+        }
+    });
+}
+
+void instance::handle_signal(int signal)
+{
+    if (signal == SIGHUP) {
+        core::info_event("reload_requested");
+        if (m_on_reload) {
+            m_on_reload();
+        }
+        return;
+    }
+    if (m_state.is_leaving.exchange(true)) {
+        return;
+    }
+    core::info_event("stop_requested").with("signal", signal);
+    asio::co_spawn(
+        m_control_context, [this] { return stop(); },
+        [](const std::exception_ptr& thrown) { log_end("stop", thrown); });
+}
+
+asio::awaitable<void> instance::tick()
+{
+    core::instant pool_checked = current_time();
+    while (true) {
+        co_await pause(tick_interval);
+        const core::instant now = current_time();
+        m_upstreams.tick(now);
+        m_limits.rebalance(now);
+        if (now - pool_checked >= pool_check_interval) {
+            pool_checked = now;
+            m_pool->close_expired(now);
+        }
+    }
+}
+
+asio::awaitable<void> instance::stop()
+{
+    const core::instant begun = current_time();
+    m_registration->set_phase(instance_phase::leaving);
+    m_callers->announce_close();
+    co_await pause(m_options.stop_refusal);
+    m_state.is_refusing = true;
+    core::info_event("refusing_new_requests").with("active", m_callers->active_requests());
+    co_await pause(begun + m_options.stop_drain - current_time());
+    std::atomic<bool> is_idle{false};
+    m_callers->drain([&is_idle] { is_idle = true; });
+    const core::instant end = begun + m_options.stop_limit - stop_reserve;
+    while (!is_idle && current_time() < end) {
+        co_await pause(stop_poll_interval);
+    }
+    if (!is_idle) {
+        core::warning_event("requests_cut").with("active", m_callers->active_requests());
+    }
+    m_feeds->stop();
+    m_demand->stop();
+    co_await m_registration->withdraw();
+    core::info_event("stopped").with("instance", m_options.instance);
+    m_request_context.stop();
+    m_control_context.stop();
+}
+
+int instance::run()
+{
+    await_signal();
+    m_registration->start();
+    m_feeds->start();
+    m_demand->start();
+    m_callers->start();
+    asio::co_spawn(
+        m_control_context, [this] { return tick(); },
+        [](const std::exception_ptr& thrown) { log_end("tick", thrown); });
+    core::info_event("started")
+        .with("instance", m_options.instance)
+        .with("region", m_options.region)
+        .with("availability_zone", m_options.availability_zone)
+        .with("callers", m_options.callers.host + ":" + std::to_string(m_options.callers.port));
+    for (std::uint32_t index = 0; index < m_options.request_threads; ++index) {
+        m_request_threads.emplace_back([this] { m_request_context.run(); });
+    }
+    m_control_context.run();
+    return 0;
+}
+
+} // namespace quetzalspan::edge
--- /dev/null
+++ b/packages/edge/instance.h
@@ -0,0 +1,91 @@
+// An edge instance: everything between the sockets of callers and those of endpoints, wired together.
+
+#pragma once
+
+#include "burn/metrics_registry.h"
+#include "caller/proxy_server.h"
+#include "edge/control_feeds.h"
+#include "edge/demand_exchange.h"
+#include "edge/deployment.h"
+#include "edge/instance_options.h"
+#include "edge/request_rules.h"
+#include "http/server.h"
+#include "upstream/connection_pool.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+
+#include <memory>
+#include <thread>
+#include <vector>
+
+namespace quetzalspan::edge
+{
+
+class instance
+{
+public:
+    // Binds all addresses. Throws boost::system::system_error if one cannot be bound.
+    static std::shared_ptr<instance> create(instance_options options, deployment site);
+
+    ~instance();
+
+    instance(const instance&) = delete;
+    instance& operator=(const instance&) = delete;
+
+    // Serves a control interface of the deployment, such as lookups, until the instance ends.
+    void add_interface(const socket_address& address, http::request_handler handler);
+
+    // Called on SIGHUP.
+    void set_reload(std::function<void()> on_reload) { m_on_reload = std::move(on_reload); }
+
+    // Runs until a signal stops the instance. Returns the exit code.
+    int run();
+
+    // Whether the instance takes requests.
+    bool is_ready() const;
+
+    // The instances that a client of the region should use.
+    std::vector<instance_record> look_up(const std::string& client_region) const;
+
+    const instance_options& options() const { return m_options; }
+
+private:
+    instance(instance_options options, deployment site);
+
+    void create_callers();
+    void create_control();
+    void add_metrics();
+    void await_signal();
+    void handle_signal(int signal);
+    boost::asio::awaitable<void> tick();
+    boost::asio::awaitable<void> stop();
+    instance_record own_record() const;
+    static upstream_options make_upstream_options(const instance_options& options);
+    static request_rule_options make_rule_options(const instance_options& options);
+    static quota::quota_options make_quota_options(const instance_options& options);
+
+    instance_options m_options;
+    deployment m_site;
+    boost::asio::io_context m_control_context{1};
+    boost::asio::io_context m_request_context;
+    boost::asio::executor_work_guard<boost::asio::io_context::executor_type> m_request_work;
+    boost::asio::signal_set m_signals;
+    burn::metrics_registry m_metrics;
+    traffic_state m_state;
+    roster m_roster;
+    quota::fleet_quota m_limits;
+    upstreams m_upstreams;
+    request_rules m_rules;
+    std::shared_ptr<upstream::connection_pool> m_pool;
+    std::shared_ptr<store::key_value_store> m_store;
+    std::shared_ptr<registration> m_registration;
+    std::unique_ptr<control_feeds> m_feeds;
+    std::shared_ptr<demand_exchange> m_demand;
+    std::shared_ptr<caller::proxy_server> m_callers;
+    std::vector<std::shared_ptr<http::server>> m_interfaces;
+    std::function<void()> m_on_reload;
+    std::vector<std::thread> m_request_threads;
+};
+
+} // namespace quetzalspan::edge
--- /dev/null
+++ b/packages/edge/instance_record.cpp
@@ -0,0 +1,69 @@
+// Implements the record of an instance.
+
+#include "edge/instance_record.h"
+
+#include "codec/json_reader.h"
+
+namespace quetzalspan::edge
+{
+
+namespace
+{
+
+constexpr std::uint64_t record_version = 1;
+constexpr std::uint64_t most_port = 65535;
+
+Json::Value to_json(const socket_address& address)
+{
+    Json::Value value;
+    value["host"] = address.host;
+    value["port"] = address.port;
+    return value;
+}
+
+socket_address read_address(codec::json_reader& in, const Json::Value& parent, const char* member)
+{
+    const Json::Value& value = in.object(parent, member, "record");
+    socket_address result;
+    result.host = in.text(value, "host", member);
+    result.port = static_cast<std::uint16_t>(in.count(value, "port", member, most_port));
+    return result;
+}
+
+} // namespace
+
+std::string to_text(const instance_record& record)
+{
+    Json::Value value;
+    value["version"] = Json::UInt64(record_version);
+    value["instance"] = record.instance;
+    value["availability_zone"] = record.availability_zone;
+    value["region"] = record.region;
+    value["callers"] = to_json(record.callers);
+    value["peers"] = to_json(record.peers);
+    value["phase"] = std::string(instance_phase_names.name(record.phase));
+    return codec::to_compact_text(value);
+}
+
+instance_record parse_instance_record(std::string_view text, const std::string& source)
+{
+    codec::json_reader in(source);
+    const Json::Value value = in.parse_object(text);
+    in.check_version(value, record_version, "record");
+    instance_record result;
+    result.instance = in.text(value, "instance", "record");
+    result.availability_zone = in.text(value, "availability_zone", "record");
+    result.region = in.text(value, "region", "record");
+    result.callers = read_address(in, value, "callers");
+    result.peers = read_address(in, value, "peers");
+    const std::optional<instance_phase> phase =
+        instance_phase_names.find_value(in.text(value, "phase", "record"));
+    if (!phase) {
+        in.add_fault("record.phase", "is no phase of an instance");
+    }
+    in.finish();
+    result.phase = *phase;
+    return result;
+}
+
+} // namespace quetzalspan::edge
--- /dev/null
+++ b/packages/edge/instance_record.h
@@ -0,0 +1,41 @@
+// The record by which an instance makes itself known to the others.
+
+#pragma once
+
+#include "core/name_table.h"
+#include "edge/instance_options.h"
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace quetzalspan::edge
+{
+
+// Where instances keep their records in the store, each under its name.
+inline constexpr std::string_view instance_prefix = "quetzalspan/instances/";
+
+enum class instance_phase { serving, leaving };
+
+inline constexpr core::name_table instance_phase_names{std::array<core::named_value<instance_phase>, 2>{{
+    {instance_phase::serving, "serving"},
+    {instance_phase::leaving, "leaving"},
+}}};
+
+struct instance_record {
+    std::string instance;
+    std::string availability_zone;
+    std::string region;
+    socket_address callers;
+    socket_address peers;
+    instance_phase phase = instance_phase::serving;
+
+    friend bool operator==(const instance_record&, const instance_record&) = default;
+};
+
+std::string to_text(const instance_record& record);
+
+// Throws core::findings_error if the text is no record.
+instance_record parse_instance_record(std::string_view text, const std::string& source);
+
+} // namespace quetzalspan::edge
--- /dev/null
+++ b/packages/edge/registration.cpp
@@ -0,0 +1,133 @@
+// Implements the own record in the store.
+
+#include "edge/registration.h"
+
+#include "core/log_event.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+namespace quetzalspan::edge
+{
+
+namespace asio = boost::asio;
+
+registration::registration(const asio::any_io_executor& executor,
+                           std::shared_ptr<store::key_value_store> store, instance_record own,
+                           registration_options options)
+    : m_store(std::move(store)), m_timer(executor), m_own(std::move(own)), m_options(options)
+{
+}
+
+std::shared_ptr<registration> registration::create(const asio::any_io_executor& executor,
+                                                   std::shared_ptr<store::key_value_store> store,
+                                                   instance_record own, registration_options options)
+{
+    return std::shared_ptr<registration>(
+        new registration(executor, std::move(store), std::move(own), options));
+}
+
+void registration::start()
+{
+    const std::shared_ptr<registration> self = shared_from_this();
+    asio::co_spawn(
+        m_timer.get_executor(), [self] { return self->run(); },
+        [](const std::exception_ptr& thrown) {
+            if (thrown) {
+                core::error_event("task_failed").with("task", "registration");
+            }
+        });
+}
+
+void registration::set_phase(instance_phase phase)
+{
+    m_own.phase = phase;
+    m_is_written = false;
+    m_timer.cancel();
+}
+
+void registration::set_known_revision(std::uint64_t revision)
+{
+    if (revision > m_revision) {
+        m_revision = revision;
+    }
+}
+
+asio::awaitable<void> registration::run()
+{
+    while (!m_is_stopped) {
+        bool has_failed = false;
+        try {
+            co_await step();
+        } catch (const std::exception& error) {
+            has_failed = true;
+            core::debug_event("registration_failed").with("error", error.what());
+        }
+        if (m_is_written || has_failed) {
+            m_timer.expires_after(has_failed ? m_options.retry : m_options.renewal);
+            boost::system::error_code ignored;
+            co_await m_timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+        }
+    }
+}
+
+asio::awaitable<void> registration::step()
+{
+    if (m_lease != 0 && m_is_written) {
+        const store::lease_outcome outcome = co_await m_store->keep_alive(m_lease);
+        if (outcome != store::lease_outcome::lost) {
+            co_return;
+        }
+        core::warning_event("lease_lost").with("lease", m_lease);
+        m_lease = 0;
+        m_is_written = false;
+        m_revision = 0;
+    }
+    if (m_lease == 0) {
+        m_lease = co_await m_store->create_lease(m_options.lease_time);
+    }
+    co_await write_record();
+}
+
+asio::awaitable<void> registration::write_record()
+{
+    const instance_record written = m_own;
+    const std::string key = std::string(instance_prefix) + m_own.instance;
+    const store::write_result result = co_await m_store->write(key, to_text(written), m_revision, m_lease);
+    switch (result.outcome) {
+    case store::write_outcome::applied:
+        m_revision = result.revision;
+        m_is_written = written == m_own;
+        core::info_event("registered")
+            .with("phase", instance_phase_names.name(written.phase))
+            .with("revision", m_revision)
+            .with("lease", m_lease);
+        break;
+    case store::write_outcome::conflict:
+        m_revision = result.current ? result.current->revision : 0;
+        break;
+    case store::write_outcome::lease_lost:
+        m_lease = 0;
+        break;
+    case store::write_outcome::unknown:
+        // The next write finds out by a conflict.
+        throw store::store_unavailable("the outcome of the write is not known");
+    }
+}
+
+asio::awaitable<void> registration::withdraw()
+{
+    m_is_stopped = true;
+    m_timer.cancel();
+    if (m_lease == 0) {
+        co_return;
+    }
+    try {
+        co_await m_store->revoke_lease(m_lease);
+    } catch (const std::exception& error) {
+        core::warning_event("record_not_withdrawn").with("error", error.what());
+    }
+}
+
+} // namespace quetzalspan::edge
--- /dev/null
+++ b/packages/edge/request_rules.cpp
@@ -0,0 +1,286 @@
+// Implements the decisions about a request.
+
+#include "edge/request_rules.h"
+
+#include "core/log_event.h"
+
+#include <boost/asio/awaitable.hpp>
+
+#include <random>
+
+namespace quetzalspan::edge
+{
+
+namespace asio = boost::asio;
+using caller::admission;
+using caller::rejection;
+using caller::request_summary;
+using dispatch::failure;
+
+namespace
+{
+
+constexpr std::size_t failure_count = static_cast<std::size_t>(failure::internal_error) + 1;
+
+// What the admission of a request refers to. The table keeps the pointers valid.
+struct request_context {
+    route_table_pointer table;
+    const routing::route* route = nullptr;
+    const routing::workspace* workspace = nullptr;
+    const routing::service* traits = nullptr;
+};
+
+const request_context& context_of(const admission& admitted)
+{
+    return *static_cast<const request_context*>(admitted.context.get());
+}
+
+std::string_view path_of(std::string_view target)
+{
+    return target.substr(0, target.find('?'));
+}
+
+double random_fraction()
+{
+    std::random_device source;
+    return std::uniform_real_distribution<double>(0, 1)(source);
+}
+
+core::instant current_time()
+{
+    return std::chrono::steady_clock::now();
+}
+
+} // namespace
+
+request_rules::request_rules(request_rule_options options, const traffic_state& state, upstreams& endpoints,
+                             quota::fleet_quota& limits, std::function<std::uint32_t()> fleet_size,
+                             burn::metrics_registry& metrics)
+    : m_options(options),
+      m_state(state),
+      m_endpoints(endpoints),
+      m_limits(limits),
+      m_fleet_size(std::move(fleet_size)),
+      m_split(random_fraction()),
+      m_metrics(metrics),
+      m_relayed(
+          metrics.get_counter("requests_total", "Requests by how they ended.", {{"reason", "relayed"}})),
+      m_retries(metrics.get_counter("retries_total", "Requests sent to a further endpoint.")),
+      m_retries_refused(metrics.get_counter("retries_refused_total", "Retries that the budget refused.")),
+      m_malformed(metrics.get_counter("malformed_messages_total", "Messages that are no acceptable HTTP.")),
+      m_latency(metrics.get_summary("request_seconds", "Time from the header of a request to its end."))
+{
+    for (std::size_t index = 0; index < failure_count; ++index) {
+        const std::string reason(dispatch::rule_of(static_cast<failure>(index)).reason);
+        m_failures.push_back(
+            &metrics.get_counter("requests_total", "Requests by how they ended.", {{"reason", reason}}));
+    }
+}
+
+caller::proxy_hooks request_rules::hooks()
+{
+    caller::proxy_hooks result;
+    result.begin = [this](const request_summary& request, core::instant) { return begin(request); };
+    result.admit = [this](const admission& admitted,
+                          caller::wait_context&) -> asio::awaitable<std::optional<rejection>> {
+        co_return admit(admitted, current_time());
+    };
+    result.acquire = [this](const request_summary& request, const admission& admitted,
+                            const std::vector<std::string>& tried,
+                            caller::wait_context&) -> asio::awaitable<caller::acquire_result> {
+        co_return acquire(request, admitted, tried, current_time());
+    };
+    result.recheck = [this](const request_summary& request, const admission& admitted, core::instant) {
+        return recheck(request, admitted);
+    };
+    result.retry = [this](const request_summary& request, const admission& admitted,
+                          const dispatch::attempt_state& state, failure at,
+                          core::instant now) { return may_retry(admitted, request, state, at, now); };
+    result.finished = [this](const caller::request_record& record) { finish(record); };
+    result.malformed = [this](failure at, std::string_view peer) {
+        m_malformed.add();
+        core::info_event("malformed_message").with("reason", dispatch::rule_of(at).reason).with("peer", peer);
+    };
+    return result;
+}
+
+caller::begin_result request_rules::begin(const request_summary& request)
+{
+    if (m_state.is_refusing.load(std::memory_order_relaxed)) {
+        return rejection{failure::stopping, std::chrono::milliseconds(1)};
+    }
+    const route_table_pointer table = m_state.table();
+    if (!table) {
+        return rejection{failure::no_configuration, m_options.unconfirmed_retry};
+    }
+    const core::boot_clock::duration age = m_state.age(core::boot_clock::now());
+    const routing::route* route = table->find_route(request.host, path_of(request.target));
+    if (route == nullptr) {
+        // A newer configuration that is not known here may have the route.
+        return age > m_options.denial_lifetime ? rejection{failure::no_authority, m_options.unconfirmed_retry}
+                                               : rejection{failure::no_route};
+    }
+    const routing::workspace* workspace = nullptr;
+    if (!route->is_public) {
+        const std::optional<rejection> cause = check_key(request, *table, age, workspace);
+        if (cause) {
+            return *cause;
+        }
+    }
+    admission result;
+    result.service = m_split.next(*route);
+    result.revision = table->version();
+    result.is_public = route->is_public;
+    result.is_repeatable = route->is_repeatable;
+    result.time_limit = route->time_limit;
+    result.attempt_limit = route->attempt_limit;
+    if (workspace != nullptr) {
+        result.workspace = workspace->name;
+    }
+    const std::shared_ptr<request_context> context = std::make_shared<request_context>();
+    context->route = route;
+    context->workspace = workspace;
+    context->traits = table->find_service(result.service);
+    context->table = table;
+    result.context = context;
+    budget_of(result.service).record_request();
+    return result;
+}
+
+std::optional<rejection> request_rules::check_key(const request_summary& request,
+                                                  const routing::route_table& table,
+                                                  core::boot_clock::duration age,
+                                                  const routing::workspace*& found) const
+{
+    if (request.key_fault) {
+        return rejection{*request.key_fault};
+    }
+    found = table.find_workspace(request.key_digest);
+    if (found == nullptr) {
+        return age > m_options.denial_lifetime ? rejection{failure::no_authority, m_options.unconfirmed_retry}
+                                               : rejection{failure::key_unknown};
+    }
+    if (age > m_options.key_lifetime) {
+        return rejection{failure::no_authority, m_options.unconfirmed_retry};
+    }
+    return std::nullopt;
+}
+
+std::optional<rejection> request_rules::admit(const admission& admitted, core::instant now)
+{
+    if (admitted.is_public) {
+        return std::nullopt;
+    }
+    const quota::quota_decision decision = m_limits.admit(admitted.workspace, now);
+    if (decision.is_admitted) {
+        return std::nullopt;
+    }
+    core::info_event("rate_limited")
+        .with("workspace", admitted.workspace)
+        .with("share_permille", static_cast<int>(decision.share * 1000))
+        .with("demand_per_s", static_cast<int>(decision.demand))
+        .with("retry_after_ms", core::to_milliseconds(decision.retry_after));
+    return rejection{failure::rate_limited, decision.retry_after};
+}
+
+caller::acquire_result request_rules::acquire(const request_summary& request, const admission& admitted,
+                                              const std::vector<std::string>& tried, core::instant now)
+{
+    const request_context& context = context_of(admitted);
+    attempt_request wanted;
+    wanted.request_id = request.request_id;
+    wanted.affinity = request.affinity;
+    wanted.service = &admitted.service;
+    wanted.route = context.route;
+    wanted.workspace = context.workspace;
+    wanted.traits = context.traits;
+    wanted.tried = &tried;
+    return m_endpoints.acquire(wanted, now);
+}
+
+std::optional<rejection> request_rules::recheck(const request_summary& request,
+                                                const admission& admitted) const
+{
+    if (admitted.is_public) {
+        return std::nullopt;
+    }
+    if (m_state.age(core::boot_clock::now()) > m_options.key_lifetime) {
+        return rejection{failure::no_authority, m_options.unconfirmed_retry};
+    }
+    const route_table_pointer newest = m_state.table();
+    const routing::workspace* workspace = newest->find_workspace(request.key_digest);
+    if (workspace == nullptr || workspace->name != admitted.workspace) {
+        return rejection{failure::key_revoked};
+    }
+    return std::nullopt;
+}
+
+dispatch::retry_budget& request_rules::budget_of(const std::string& service)
+{
+    const std::lock_guard<std::mutex> guard(m_guard);
+    std::unique_ptr<dispatch::retry_budget>& budget = m_budgets[service];
+    const double slack = m_options.retry_use * m_options.retry_slack / std::max(m_fleet_size(), 1U);
+    if (!budget) {
+        dispatch::retry_budget_options options;
+        options.share = m_options.retry_use * m_options.retry_share;
+        options.initial = slack;
+        options.limit = slack;
+        budget = std::make_unique<dispatch::retry_budget>(options);
+    }
+    budget->set_limit(slack);
+    return *budget;
+}
+
+bool request_rules::may_retry(const admission& admitted, const request_summary& request,
+                              const dispatch::attempt_state& state, failure at, core::instant now)
+{
+    if (!dispatch::allows_retry(at, state.is_idempotent) || !state.is_body_replayable) {
+        return false;
+    }
+    if (state.sends >= admitted.attempt_limit ||
+        state.attempts >= admitted.attempt_limit + m_options.unsent_attempts ||
+        state.deadline - now < m_options.least_remaining) {
+        return false;
+    }
+    // Nothing has reached an endpoint yet, so the next send is the first.
+    if (state.sends == 0) {
+        return true;
+    }
+    const bool is_granted = budget_of(admitted.service).try_spend();
+    (is_granted ? m_retries : m_retries_refused).add();
+    core::info_event("retry")
+        .with("request_id", request.request_id)
+        .with("reason", dispatch::rule_of(at).reason)
+        .with("sends", state.sends)
+        .with("granted", is_granted);
+    return is_granted;
+}
+
+void request_rules::finish(const caller::request_record& record)
+{
+    (record.at ? *m_failures[static_cast<std::size_t>(*record.at)] : m_relayed).add();
+    m_latency.record(record.total_time);
+    const bool is_logged = record.at.has_value() || record.status >= 500 ||
+                           m_successes.fetch_add(1) % m_options.success_log_interval == 0;
+    if (!is_logged) {
+        return;
+    }
+    core::info_event event("request");
+    event.with("request_id", record.summary.request_id)
+        .with("host", record.summary.host)
+        .with("workspace", record.admitted.workspace)
+        .with("service", record.admitted.service)
+        .with("configuration", record.admitted.revision)
+        .with("endpoint", record.endpoint)
+        .with("status", record.status)
+        .with("outcome", dispatch::outcome_names.name(record.result))
+        .with("attempts", record.attempts)
+        .with("total_ms", core::to_milliseconds(record.total_time));
+    if (record.at) {
+        event.with("reason", dispatch::rule_of(*record.at).reason);
+        const core::boot_clock::duration age = m_state.age(core::boot_clock::now());
+        event.with("configuration_age_ms", core::to_milliseconds(age));
+    }
+}
+
+} // namespace quetzalspan::edge
--- /dev/null
+++ b/packages/edge/traffic_state.h
@@ -0,0 +1,73 @@
+// What every request reads: the configuration in force, how fresh it is, and whether the instance is
+// stopping.
+
+#pragma once
+
+#include "core/boot_clock.h"
+#include "core/rcu_cell.h"
+#include "routing/route_table.h"
+
+#include <atomic>
+#include <memory>
+
+namespace quetzalspan::edge
+{
+
+using route_table_pointer = std::shared_ptr<const routing::route_table>;
+
+// Written by the control thread, read by all.
+class traffic_state
+{
+public:
+    traffic_state() : m_table(std::make_unique<const route_table_pointer>()) {}
+
+    traffic_state(const traffic_state&) = delete;
+    traffic_state& operator=(const traffic_state&) = delete;
+
+    // Null until a configuration is known.
+    route_table_pointer table() const
+    {
+        const core::rcu_read_section section;
+        return m_table.read(section);
+    }
+
+    // Publishes a table if its version is higher than that of the present one. Returns whether it is.
+    bool publish(route_table_pointer next)
+    {
+        const route_table_pointer present = table();
+        if (present && next->version() <= present->version()) {
+            return false;
+        }
+        m_table.publish(std::make_unique<const route_table_pointer>(std::move(next)));
+        return true;
+    }
+
+    // The table holds every change that the store acknowledged before this time.
+    void confirm(core::boot_instant sent)
+    {
+        const std::int64_t value = sent.time_since_epoch().count();
+        if (value > m_confirmed.load(std::memory_order_acquire)) {
+            m_confirmed.store(value, std::memory_order_release);
+        }
+    }
+
+    // How old the confirmation of the table is; the longest duration if there is none.
+    core::boot_clock::duration age(core::boot_instant now) const
+    {
+        const std::int64_t confirmed = m_confirmed.load(std::memory_order_acquire);
+        return confirmed == 0 ? core::boot_clock::duration::max()
+                              : now.time_since_epoch() - core::boot_clock::duration(confirmed);
+    }
+
+    // Whether new requests are rejected because the instance stops.
+    std::atomic<bool> is_refusing{false};
+    // Whether the instance has been told to stop.
+    std::atomic<bool> is_leaving{false};
+
+private:
+    core::rcu_cell<route_table_pointer> m_table;
+    // Nanoseconds of the boot clock; 0 for never. Only rises.
+    std::atomic<std::int64_t> m_confirmed{0};
+};
+
+} // namespace quetzalspan::edge
--- /dev/null
+++ b/packages/edge/upstreams.cpp
@@ -0,0 +1,259 @@
+// Implements the use of endpoints by the request path.
+
+#include "edge/upstreams.h"
+
+#include "core/log_event.h"
+
+#include <algorithm>
+
+namespace quetzalspan::edge
+{
+
+using placement::attempt_outcome;
+using placement::endpoint_pointer;
+
+namespace
+{
+
+constexpr unsigned first_server_error = 500;
+
+} // namespace
+
+upstreams::upstreams(upstream_options options, fleet_hook fleet, burn::metrics_registry& metrics)
+    : m_options(std::move(options)),
+      m_fleet(std::move(fleet)),
+      m_sends(metrics.get_counter("upstream_sends_total", "Requests sent to endpoints.")),
+      m_spilled(
+          metrics.get_counter("upstream_spilled_total",
+                              "Requests sent to another endpoint than the first choice of their object.")),
+      m_ejections(metrics.get_counter("upstream_ejections_total", "Endpoints passed over after failures.")),
+      m_catalog(m_options.catalog, {log_change, [this](std::string_view service) {
+                                        const routing::service* traits =
+                                            m_table ? m_table->find_service(service) : nullptr;
+                                        return traits == nullptr ? core::duration(0) : traits->cold_time;
+                                    }})
+{
+}
+
+void upstreams::log_change(placement::catalog_change change, const placement::endpoint& about)
+{
+    if (change == placement::catalog_change::updated) {
+        return;
+    }
+    core::info_event("endpoint_changed")
+        .with("endpoint", about.record.id)
+        .with("change", placement::catalog_change_names.name(change))
+        .with("service", about.record.service)
+        .with("availability_zone", about.record.availability_zone)
+        .with("incarnation", about.record.incarnation)
+        .with("sequence", about.record.sequence);
+}
+
+placement::cold_limit upstreams::cold_limit_of(const routing::service* traits) const
+{
+    if (traits == nullptr || traits->cold_rate <= 0) {
+        return {};
+    }
+    return {(traits->cold_rate * m_options.cold_factor + m_options.cold_slack) * m_options.cold_use};
+}
+
+caller::acquire_result upstreams::acquire(const attempt_request& request, core::instant now)
+{
+    placement::choice_request wanted;
+    wanted.service = *request.service;
+    wanted.affinity = request.route->has_affinity ? request.affinity : std::string_view();
+    wanted.request_id = request.request_id;
+    wanted.own_region = m_options.own_region;
+    wanted.tried = request.tried;
+    wanted.is_repeatable = request.route->is_repeatable;
+    wanted.cold = cold_limit_of(request.traits);
+    static const std::vector<std::string> anywhere;
+    const std::vector<std::string>& workspace_homes =
+        request.workspace == nullptr ? anywhere : request.workspace->home_regions;
+    wanted.is_region_allowed = [&request, &workspace_homes](const std::string& region) {
+        return routing::is_region_allowed(request.route->home_regions, workspace_homes, region);
+    };
+
+    const std::lock_guard<std::mutex> guard(m_guard);
+    const placement::choice chosen =
+        placement::choose_endpoint(m_catalog, wanted, m_position, m_options.choice, now);
+    if (!chosen.target) {
+        core::info_event("no_endpoint")
+            .with("request_id", request.request_id)
+            .with("service", *request.service)
+            .with("candidates", chosen.candidates)
+            .with("cause", chosen.fault == placement::choice_fault::all_busy ? "all-busy" : "none-known");
+        return caller::rejection{dispatch::failure::no_permit, m_options.busy_retry};
+    }
+    m_spilled.add(chosen.is_spilled ? 1 : 0);
+    m_sends.add();
+    ++chosen.target->outstanding;
+    ++chosen.target->sent;
+    placement::record_cold_send(*chosen.target, now);
+    return make_lease(chosen.target, request, now);
+}
+
+core::duration upstreams::patience_for(const std::string& service) const
+{
+    const std::map<std::string, core::duration>::const_iterator median = m_median_latency.find(service);
+    if (median == m_median_latency.end()) {
+        return m_options.least_patience;
+    }
+    const double usual = static_cast<double>(median->second.count()) * m_options.patience_factor;
+    return std::max(m_options.least_patience, core::duration(static_cast<std::int64_t>(usual)));
+}
+
+caller::endpoint_lease upstreams::make_lease(const endpoint_pointer& target, const attempt_request& request,
+                                             core::instant now)
+{
+    caller::endpoint_lease lease = caller::endpoint_lease::create(
+        target->record.id, target->record.host, target->record.port,
+        [this, target, id = std::string(request.request_id)](const caller::attempt_result& result) {
+            release(target, id, result);
+        });
+    // The last attempt may wait until the deadline; there is nowhere else to turn.
+    if (request.route->is_repeatable && request.tried->empty() && request.route->attempt_limit > 1) {
+        lease.set_patience(patience_for(target->record.service));
+    }
+    core::debug_event("endpoint_chosen")
+        .with("request_id", request.request_id)
+        .with("endpoint", target->record.id)
+        .with("outstanding", target->outstanding)
+        .with("cold", now < target->cold_until);
+    return lease;
+}
+
+attempt_outcome upstreams::to_outcome(const caller::attempt_result& result)
+{
+    using dispatch::failure;
+    if (!result.is_dispatched) {
+        return attempt_outcome::nothing_learned;
+    }
+    if (!result.at) {
+        return result.status >= first_server_error ? attempt_outcome::server_error : attempt_outcome::success;
+    }
+    switch (*result.at) {
+    case failure::upstream_shed:
+        return attempt_outcome::shed;
+    case failure::misdirected:
+        return attempt_outcome::misdirected;
+    case failure::connect_failed:
+        return attempt_outcome::unreachable;
+    case failure::upstream_error:
+        return attempt_outcome::server_error;
+    case failure::response_timeout:
+        return attempt_outcome::silent;
+    case failure::response_lost:
+    case failure::malformed_response:
+    case failure::body_truncated:
+    case failure::response_incomplete:
+    case failure::response_unverified:
+        return attempt_outcome::lost;
+    default:
+        return attempt_outcome::nothing_learned;
+    }
+}
+
+void upstreams::release(const endpoint_pointer& target, const std::string& request_id,
+                        const caller::attempt_result& result)
+{
+    const core::instant now = std::chrono::steady_clock::now();
+    const core::instant sent = now - result.total_time;
+    const attempt_outcome outcome = to_outcome(result);
+    const std::lock_guard<std::mutex> guard(m_guard);
+    --target->outstanding;
+    const bool is_ejected =
+        placement::record_outcome(*target, outcome, sent, result.header_time, m_options.health, now);
+    if (is_ejected) {
+        m_ejections.add();
+        core::info_event("endpoint_ejected")
+            .with("request_id", request_id)
+            .with("endpoint", target->record.id)
+            .with("outcome", placement::attempt_outcome_names.name(outcome))
+            .with("failure_rate_percent", static_cast<int>(target->failure_rate * 100))
+            .with("for_ms", core::to_milliseconds(target->ejected_until - now));
+    }
+}
+
+void upstreams::apply(const placement::endpoint_record& record, bool is_first_listing, core::instant now)
+{
+    const std::lock_guard<std::mutex> guard(m_guard);
+    m_catalog.apply(record, now, is_first_listing);
+}
+
+void upstreams::remove(const std::string& id, core::instant now)
+{
+    const std::lock_guard<std::mutex> guard(m_guard);
+    m_catalog.remove(id, now);
+}
+
+void upstreams::begin_absence_grace(core::instant now)
+{
+    const std::lock_guard<std::mutex> guard(m_guard);
+    m_catalog.begin_absence_grace(now);
+}
+
+void upstreams::set_evacuated_zones(const std::set<std::string>& zones, core::instant now)
+{
+    const std::lock_guard<std::mutex> guard(m_guard);
+    m_catalog.set_evacuated_zones(zones, now);
+}
+
+void upstreams::set_table(std::shared_ptr<const routing::route_table> table)
+{
+    const std::lock_guard<std::mutex> guard(m_guard);
+    m_table = std::move(table);
+}
+
+void upstreams::judge_service(const std::vector<endpoint_pointer>& endpoints, core::instant now)
+{
+    std::vector<core::duration> latencies;
+    for (const endpoint_pointer& entry : endpoints) {
+        if (entry->latency > core::duration(0)) {
+            latencies.push_back(entry->latency);
+        }
+    }
+    // A median of fewer would follow the slow endpoint itself.
+    constexpr std::size_t least_endpoints = 3;
+    if (latencies.size() < least_endpoints) {
+        return;
+    }
+    const std::vector<core::duration>::iterator middle =
+        latencies.begin() + static_cast<std::ptrdiff_t>(latencies.size() / 2);
+    std::nth_element(latencies.begin(), middle, latencies.end());
+    m_median_latency[endpoints.front()->record.service] = *middle;
+    for (const endpoint_pointer& entry : endpoints) {
+        // Only fresh results count: without requests the average stands still.
+        if (entry->outstanding > 0 && placement::judge_latency(*entry, *middle, m_options.health, now)) {
+            core::info_event("endpoint_slow")
+                .with("endpoint", entry->record.id)
+                .with("latency_ms", core::to_milliseconds(entry->latency))
+                .with("median_ms", core::to_milliseconds(*middle));
+        }
+    }
+}
+
+void upstreams::tick(core::instant now)
+{
+    placement::fleet_position position = m_fleet();
+    const std::lock_guard<std::mutex> guard(m_guard);
+    m_position = std::move(position);
+    m_catalog.expire(now);
+    if (!m_table) {
+        return;
+    }
+    for (const routing::service& service : m_table->source().services) {
+        const std::vector<endpoint_pointer>& endpoints = m_catalog.find_service(service.name);
+        if (!endpoints.empty()) {
+            judge_service(endpoints, now);
+        }
+    }
+}
+
+std::size_t upstreams::size() const
+{
+    const std::lock_guard<std::mutex> guard(m_guard);
+    return m_catalog.size();
+}
+
+} // namespace quetzalspan::edge
--- /dev/null
+++ b/packages/edge/upstreams.h
@@ -0,0 +1,101 @@
+// The endpoints as the request path uses them: chooses one for each attempt and learns from the results.
+
+#pragma once
+
+#include "burn/metrics_registry.h"
+#include "caller/proxy_hooks.h"
+#include "edge/instance_options.h"
+#include "placement/endpoint_choice.h"
+#include "placement/endpoint_health.h"
+#include "routing/route_table.h"
+
+#include <functional>
+#include <map>
+#include <mutex>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace quetzalspan::edge
+{
+
+struct upstream_options {
+    placement::catalog_options catalog;
+    placement::choice_options choice;
+    placement::health_options health;
+    std::string own_region;
+    double cold_factor = 1;
+    double cold_slack = 0;
+    // Part of the fleet-wide limit of a cold endpoint that is used.
+    double cold_use = 0.85;
+    // When all endpoints are full, callers are told to come back after this time.
+    core::duration busy_retry = std::chrono::milliseconds(60);
+    // A repeatable request is sent to another endpoint if there is no response after this many times the
+    // usual latency of the service, but not before the least time.
+    double patience_factor = 4;
+    core::duration least_patience = std::chrono::milliseconds(600);
+};
+
+// What an attempt needs to know of its request.
+struct attempt_request {
+    std::string_view request_id;
+    std::string_view affinity;
+    const std::string* service = nullptr;
+    const routing::route* route = nullptr;
+    // Null on a public route.
+    const routing::workspace* workspace = nullptr;
+    const routing::service* traits = nullptr;
+    const std::vector<std::string>* tried = nullptr;
+};
+
+// Threads may share it.
+class upstreams
+{
+public:
+    using fleet_hook = std::function<placement::fleet_position()>;
+
+    upstreams(upstream_options options, fleet_hook fleet, burn::metrics_registry& metrics);
+
+    upstreams(const upstreams&) = delete;
+    upstreams& operator=(const upstreams&) = delete;
+
+    // Chooses an endpoint. The lease reports the result back.
+    caller::acquire_result acquire(const attempt_request& request, core::instant now);
+
+    // The changes that discovery and operators bring.
+    void apply(const placement::endpoint_record& record, bool is_first_listing, core::instant now);
+    void remove(const std::string& id, core::instant now);
+    void begin_absence_grace(core::instant now);
+    void set_evacuated_zones(const std::set<std::string>& zones, core::instant now);
+    void set_table(std::shared_ptr<const routing::route_table> table);
+
+    // Drops expired absences and judges latencies. For a timer.
+    void tick(core::instant now);
+
+    std::size_t size() const;
+
+private:
+    placement::cold_limit cold_limit_of(const routing::service* traits) const;
+    caller::endpoint_lease make_lease(const placement::endpoint_pointer& target,
+                                      const attempt_request& request, core::instant now);
+    void release(const placement::endpoint_pointer& target, const std::string& request_id,
+                 const caller::attempt_result& result);
+    core::duration patience_for(const std::string& service) const;
+    void judge_service(const std::vector<placement::endpoint_pointer>& endpoints, core::instant now);
+    static placement::attempt_outcome to_outcome(const caller::attempt_result& result);
+    static void log_change(placement::catalog_change change, const placement::endpoint& about);
+
+    upstream_options m_options;
+    fleet_hook m_fleet;
+    burn::counter& m_sends;
+    burn::counter& m_spilled;
+    burn::counter& m_ejections;
+    mutable std::mutex m_guard;
+    // The rest is guarded by m_guard.
+    std::shared_ptr<const routing::route_table> m_table;
+    placement::endpoint_catalog m_catalog;
+    placement::fleet_position m_position;
+    std::map<std::string, core::duration> m_median_latency;
+};
+
+} // namespace quetzalspan::edge
--- a/packages/http/client.cpp
+++ b/packages/http/client.cpp
@@ -85,6 +85,12 @@
     }
 }
 
+void client::close_idle()
+{
+    const std::lock_guard<std::mutex> guard(m_idle_guard);
+    m_idle.clear();
+}
+
 asio::awaitable<client::stream_pointer> client::connect(core::duration timeout)
 {
     stream_pointer stream = std::make_unique<beast::tcp_stream>(asio::make_strand(m_executor));
--- a/packages/http/client.h
+++ b/packages/http/client.h
@@ -61,6 +61,9 @@
     // time allowed.
     boost::asio::awaitable<response> send(request message, core::duration timeout);
 
+    // Closes the connections that carry no message, for example after one of them turned out to be silent.
+    void close_idle();
+
     const std::string& host() const { return m_host; }
     std::uint16_t port() const { return m_address.port(); }
 
--- a/packages/node/claim_keeper.cpp
+++ b/packages/node/claim_keeper.cpp
@@ -30,28 +30,28 @@
 constexpr std::chrono::hours lease_use(1);
 constexpr std::chrono::seconds lease_check_interval(1);
 
-store_result to_result(platform::write_outcome outcome)
+store_result to_result(store::write_outcome outcome)
 {
     switch (outcome) {
-    case platform::write_outcome::applied:
+    case store::write_outcome::applied:
         return store_result::done;
-    case platform::write_outcome::conflict:
-    case platform::write_outcome::lease_lost:
+    case store::write_outcome::conflict:
+    case store::write_outcome::lease_lost:
         return store_result::conflict;
-    case platform::write_outcome::unknown:
+    case store::write_outcome::unknown:
         return store_result::lost;
     }
     return store_result::lost;
 }
 
-void report_write(dispatch::idempotency_claim& target, const platform::write_result& written)
+void report_write(dispatch::idempotency_claim& target, const store::write_result& written)
 {
     target.report(to_result(written.outcome), written.revision);
 }
 
 } // namespace
 
-claim_keeper::claim_keeper(asio::any_io_executor control, std::shared_ptr<platform::store_client> store)
+claim_keeper::claim_keeper(asio::any_io_executor control, std::shared_ptr<store::store_client> store)
     : m_control(std::move(control)), m_store(std::move(store))
 {
 }
@@ -88,15 +88,15 @@
     constexpr int most_attempts = 2;
     for (int attempt = 0; attempt < most_attempts; ++attempt) {
         const std::uint64_t lease = co_await find_lease();
-        const platform::write_result written =
+        const store::write_result written =
             co_await m_store->write(target.key(), target.value(), expected_revision, lease);
-        if (written.outcome != platform::write_outcome::lease_lost) {
+        if (written.outcome != store::write_outcome::lease_lost) {
             report_write(target, written);
             co_return;
         }
         m_lease = 0;
     }
-    throw platform::store_unavailable("the store loses leases");
+    throw store::store_unavailable("the store loses leases");
 }
 
 asio::awaitable<void> claim_keeper::perform_one(dispatch::idempotency_claim& target)
@@ -108,7 +108,7 @@
         co_await write(target, 0);
         break;
     case claim_action::read: {
-        const platform::read_result found = co_await m_store->read(target.key());
+        const store::read_result found = co_await m_store->read(target.key());
         if (found.entry) {
             target.report(store_result::done, found.entry->revision, found.entry->value);
         } else {
@@ -120,7 +120,7 @@
         co_await write(target, target.revision());
         break;
     case claim_action::remove: {
-        const platform::write_result erased = co_await m_store->erase(target.key(), target.revision());
+        const store::write_result erased = co_await m_store->erase(target.key(), target.revision());
         report_write(target, erased);
         break;
     }
@@ -133,9 +133,9 @@
         bool is_unavailable = false;
         try {
             co_await perform_one(*target);
-        } catch (const platform::store_unavailable&) {
+        } catch (const store::store_unavailable&) {
             is_unavailable = true;
-        } catch (const platform::store_rejected&) {
+        } catch (const store::store_rejected&) {
             is_unavailable = true;
         }
         if (is_unavailable) {
--- a/packages/node/claim_keeper.h
+++ b/packages/node/claim_keeper.h
@@ -4,7 +4,7 @@
 
 #include "caller/proxy_hooks.h"
 #include "dispatch/idempotency_claim.h"
-#include "platform/store_client.h"
+#include "store/store_client.h"
 
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
@@ -21,7 +21,7 @@
 class claim_keeper
 {
 public:
-    claim_keeper(boost::asio::any_io_executor control, std::shared_ptr<platform::store_client> store);
+    claim_keeper(boost::asio::any_io_executor control, std::shared_ptr<store::store_client> store);
 
     claim_keeper(const claim_keeper&) = delete;
     claim_keeper& operator=(const claim_keeper&) = delete;
@@ -50,7 +50,7 @@
     boost::asio::awaitable<void> run(std::shared_ptr<dispatch::idempotency_claim> target);
 
     boost::asio::any_io_executor m_control;
-    std::shared_ptr<platform::store_client> m_store;
+    std::shared_ptr<store::store_client> m_store;
     // Used on the control executor. 0 if there is none.
     std::uint64_t m_lease = 0;
     core::instant m_lease_created;
--- a/packages/node/control_loop.cpp
+++ b/packages/node/control_loop.cpp
@@ -89,9 +89,9 @@
 void control_loop::start_configuration_source()
 {
     const std::weak_ptr<control_loop> weak = weak_from_this();
-    platform::configuration_options options;
+    store::configuration_options options;
     options.read_interval = m_options.configuration_poll_interval;
-    platform::configuration_hooks hooks;
+    store::configuration_hooks hooks;
     hooks.on_newer = [weak](const config::configuration& offered, const std::string& document) {
         const std::shared_ptr<control_loop> self = weak.lock();
         if (self && self->m_configuration.offer(offered, document, "platform", current_time())) {
@@ -104,7 +104,7 @@
     hooks.on_invalid = [](const std::string& found) {
         core::error_event("configuration_rejected").with("source", "platform").with("findings", found);
     };
-    m_source = platform::configuration_source::create(m_strand, m_parts.store, options, std::move(hooks));
+    m_source = store::configuration_source::create(m_strand, m_parts.store, options, std::move(hooks));
     m_source->start();
 }
 
@@ -142,11 +142,11 @@
         m_parts.on_member_id(record.id);
     }
 
-    platform::registration_options options;
+    store::registration_options options;
     options.lease_time = m_options.lease_time;
     // A third of the authority lifetime: two renewals may fail before authority ends.
     options.renewal_interval = m_options.authority.authority_lifetime / 3;
-    platform::registration_hooks hooks;
+    store::registration_hooks hooks;
     const std::weak_ptr<control_loop> weak = weak_from_this();
     hooks.now = [] { return current_time(); };
     hooks.on_joined = [weak, record, generation](std::uint64_t revision) {
@@ -161,14 +161,14 @@
             self->m_manager->authority().note_store_confirmation(sent);
         }
     };
-    hooks.on_fenced = [weak, generation](platform::fence_reason reason) {
+    hooks.on_fenced = [weak, generation](store::fence_reason reason) {
         const std::shared_ptr<control_loop> self = weak.lock();
         if (self && self->m_generation == generation) {
             self->on_fenced(reason);
         }
     };
     m_registration =
-        platform::member_registration::create(m_strand, m_parts.store, record, options, std::move(hooks));
+        store::member_registration::create(m_strand, m_parts.store, record, options, std::move(hooks));
     m_registration->start();
 }
 
@@ -186,11 +186,11 @@
     apply_configuration();
 }
 
-void control_loop::on_fenced(platform::fence_reason reason)
+void control_loop::on_fenced(store::fence_reason reason)
 {
     core::warning_event("fenced")
         .with("member", m_self.id)
-        .with("cause", platform::fence_reason_names.name(reason));
+        .with("cause", store::fence_reason_names.name(reason));
     if (m_manager) {
         m_manager->on_record_lost();
     }
--- a/packages/node/control_loop.h
+++ b/packages/node/control_loop.h
@@ -13,8 +13,8 @@
 #include "node/request_policy.h"
 #include "node/store_executor.h"
 #include "node/token_waiters.h"
-#include "platform/configuration_source.h"
-#include "platform/member_registration.h"
+#include "store/configuration_source.h"
+#include "store/member_registration.h"
 
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
@@ -31,7 +31,7 @@
 
 // Parts that the loop uses and that outlive it.
 struct control_parts {
-    std::shared_ptr<platform::store_client> store;
+    std::shared_ptr<store::store_client> store;
     state_cell& state;
     directory_cell& directory;
     token_waiters& tokens;
@@ -117,7 +117,7 @@
 
     void start_configuration_source();
     void on_joined(membership::member record, std::uint64_t revision);
-    void on_fenced(platform::fence_reason reason);
+    void on_fenced(store::fence_reason reason);
     void rejoin();
     void apply_configuration();
     void publish();
@@ -150,11 +150,11 @@
     peer_channel m_peers;
     configuration_keeper m_configuration;
     store_executor m_executor;
-    std::shared_ptr<platform::configuration_source> m_source;
+    std::shared_ptr<store::configuration_source> m_source;
 
     // The record of this incarnation, and its parts; null until it has joined.
     membership::member m_self;
-    std::shared_ptr<platform::member_registration> m_registration;
+    std::shared_ptr<store::member_registration> m_registration;
     std::unique_ptr<allowance::share_manager> m_manager;
     // Counts incarnations, so that a late result of an earlier one is not given to the present one.
     std::uint64_t m_generation = 0;
--- a/packages/node/store_executor.cpp
+++ b/packages/node/store_executor.cpp
@@ -20,66 +20,66 @@
 
 std::string member_key(const std::string& member)
 {
-    return std::string(platform::member_prefix) + member;
+    return std::string(store::member_prefix) + member;
 }
 
 std::string report_key(const std::string& member)
 {
-    return std::string(platform::report_prefix) + member;
+    return std::string(store::report_prefix) + member;
 }
 
-allowance::write_status to_status(platform::write_outcome outcome)
+allowance::write_status to_status(store::write_outcome outcome)
 {
     switch (outcome) {
-    case platform::write_outcome::applied:
+    case store::write_outcome::applied:
         return allowance::write_status::applied;
-    case platform::write_outcome::conflict:
-    case platform::write_outcome::lease_lost:
+    case store::write_outcome::conflict:
+    case store::write_outcome::lease_lost:
         return allowance::write_status::conflict;
-    case platform::write_outcome::unknown:
+    case store::write_outcome::unknown:
         return allowance::write_status::unknown;
     }
     return allowance::write_status::unknown;
 }
 
-platform::write_result conflict()
+store::write_result conflict()
 {
-    platform::write_result result;
-    result.outcome = platform::write_outcome::conflict;
+    store::write_result result;
+    result.outcome = store::write_outcome::conflict;
     return result;
 }
 
 } // namespace
 
-store_executor::store_executor(std::shared_ptr<platform::store_client> client)
+store_executor::store_executor(std::shared_ptr<store::store_client> client)
     : m_client(std::move(client)), m_nonce(core::random_hex(nonce_bytes))
 {
 }
 
-platform::write_mark store_executor::next_mark()
+store::write_mark store_executor::next_mark()
 {
     return {m_nonce, ++m_sequence};
 }
 
 asio::awaitable<allowance::round_observation> store_executor::read_round()
 {
-    const platform::read_result found = co_await m_client->read(std::string(platform::round_key));
+    const store::read_result found = co_await m_client->read(std::string(store::round_key));
     allowance::round_observation result;
     result.store_revision = found.revision;
     if (found.entry) {
         result.record_revision = found.entry->revision;
-        result.record = platform::round_from_record(found.entry->value, found.entry->key);
+        result.record = store::round_from_record(found.entry->value, found.entry->key);
     }
     co_return result;
 }
 
 asio::awaitable<allowance::report_observation> store_executor::read_reports()
 {
-    const platform::listing found = co_await m_client->list(std::string(platform::report_prefix));
+    const store::listing found = co_await m_client->list(std::string(store::report_prefix));
     allowance::report_observation result;
     result.store_revision = found.revision;
-    for (const platform::store_entry& entry : found.entries) {
-        result.reports.push_back({platform::report_from_record(entry.value, entry.key), entry.revision});
+    for (const store::store_entry& entry : found.entries) {
+        result.reports.push_back({store::report_from_record(entry.value, entry.key), entry.revision});
     }
     co_return result;
 }
@@ -88,17 +88,17 @@
 {
     // A member creates its liveness key before its record, so listing the records first never shows a new
     // member as dead.
-    const platform::listing records = co_await m_client->list(std::string(platform::member_prefix));
-    const platform::listing alive = co_await m_client->list(std::string(platform::alive_prefix));
+    const store::listing records = co_await m_client->list(std::string(store::member_prefix));
+    const store::listing alive = co_await m_client->list(std::string(store::alive_prefix));
     std::set<std::string> alive_members;
-    for (const platform::store_entry& entry : alive.entries) {
-        alive_members.insert(entry.key.substr(platform::alive_prefix.size()));
+    for (const store::store_entry& entry : alive.entries) {
+        alive_members.insert(entry.key.substr(store::alive_prefix.size()));
     }
     membership::member_list result;
     result.revision = records.revision;
-    for (const platform::store_entry& entry : records.entries) {
+    for (const store::store_entry& entry : records.entries) {
         membership::stored_member member;
-        member.record = platform::member_from_record(entry.value, entry.key);
+        member.record = store::member_from_record(entry.value, entry.key);
         member.record.joined_revision = entry.created_revision;
         member.record_revision = entry.revision;
         member.is_alive = alive_members.contains(member.record.id);
@@ -107,17 +107,17 @@
     co_return result;
 }
 
-asio::awaitable<platform::write_result> store_executor::dispatch(const allowance::store_write& change,
-                                                                 const membership::members& list)
+asio::awaitable<store::write_result> store_executor::dispatch(const allowance::store_write& change,
+                                                              const membership::members& list)
 {
     if (const allowance::write_round* round = std::get_if<allowance::write_round>(&change.change)) {
-        co_return co_await m_client->write(std::string(platform::round_key),
-                                           platform::to_record(round->record, next_mark()),
+        co_return co_await m_client->write(std::string(store::round_key),
+                                           store::to_record(round->record, next_mark()),
                                            change.expected_revision);
     }
     if (const allowance::write_report* report = std::get_if<allowance::write_report>(&change.change)) {
         co_return co_await m_client->write(report_key(report->record.member),
-                                           platform::to_record(report->record, next_mark()),
+                                           store::to_record(report->record, next_mark()),
                                            change.expected_revision);
     }
     if (const allowance::mark_suspect* mark = std::get_if<allowance::mark_suspect>(&change.change)) {
@@ -127,7 +127,7 @@
         }
         membership::member record = target->record;
         record.state = membership::member_state::suspect;
-        co_return co_await m_client->write(member_key(mark->member), platform::to_record(record, next_mark()),
+        co_return co_await m_client->write(member_key(mark->member), store::to_record(record, next_mark()),
                                            change.expected_revision);
     }
     if (const allowance::delete_member* member = std::get_if<allowance::delete_member>(&change.change)) {
@@ -143,14 +143,14 @@
     allowance::write_result result;
     result.operation = change.operation;
     try {
-        const platform::write_result written = co_await dispatch(change, list);
+        const store::write_result written = co_await dispatch(change, list);
         result.status = to_status(written.outcome);
         result.record_revision = written.revision;
-    } catch (const platform::store_unavailable&) {
+    } catch (const store::store_unavailable&) {
         // Certainly not executed, but repeating it at once would not help; unknown makes the ledger read
         // back.
         result.status = allowance::write_status::unknown;
-    } catch (const platform::store_rejected& error) {
+    } catch (const store::store_rejected& error) {
         core::error_event("store_write_rejected").with("error", error.what());
         result.status = allowance::write_status::unknown;
     }
--- a/packages/node/store_executor.h
+++ b/packages/node/store_executor.h
@@ -4,8 +4,8 @@
 
 #include "allowance/store_records.h"
 #include "membership/members.h"
-#include "platform/records.h"
-#include "platform/store_client.h"
+#include "store/records.h"
+#include "store/store_client.h"
 
 #include <boost/asio/awaitable.hpp>
 
@@ -20,7 +20,7 @@
 class store_executor
 {
 public:
-    explicit store_executor(std::shared_ptr<platform::store_client> client);
+    explicit store_executor(std::shared_ptr<store::store_client> client);
 
     boost::asio::awaitable<allowance::round_observation> read_round();
     boost::asio::awaitable<allowance::report_observation> read_reports();
@@ -31,11 +31,11 @@
                                                           const membership::members& list);
 
 private:
-    boost::asio::awaitable<platform::write_result> dispatch(const allowance::store_write& change,
-                                                            const membership::members& list);
-    platform::write_mark next_mark();
+    boost::asio::awaitable<store::write_result> dispatch(const allowance::store_write& change,
+                                                         const membership::members& list);
+    store::write_mark next_mark();
 
-    std::shared_ptr<platform::store_client> m_client;
+    std::shared_ptr<store::store_client> m_client;
     std::string m_nonce;
     std::uint64_t m_sequence = 0;
 };
--- /dev/null
+++ b/packages/placement/endpoint_record.h
@@ -0,0 +1,39 @@
+// What an endpoint says of itself, as the deployment's discovery delivers it.
+
+#pragma once
+
+#include "core/name_table.h"
+#include "core/time.h"
+
+#include <cstdint>
+#include <string>
+
+namespace quetzalspan::placement
+{
+
+enum class endpoint_phase { serving, draining };
+
+inline constexpr core::name_table endpoint_phase_names{std::array<core::named_value<endpoint_phase>, 2>{{
+    {endpoint_phase::serving, "serving"},
+    {endpoint_phase::draining, "draining"},
+}}};
+
+struct endpoint_record {
+    std::string id;
+    std::string service;
+    std::string host;
+    std::uint16_t port = 0;
+    std::string availability_zone;
+    std::string region;
+    // Requests that it runs at once; at least 1.
+    std::uint32_t slots = 1;
+    endpoint_phase phase = endpoint_phase::serving;
+    // How long it stays cold from when the record was written.
+    core::duration cold_remaining{0};
+    // Orders the starts of an endpoint that keeps its id: the time of its start in milliseconds since 1970.
+    std::uint64_t incarnation = 0;
+    // Orders the records of one incarnation.
+    std::uint64_t sequence = 0;
+};
+
+} // namespace quetzalspan::placement
--- /dev/null
+++ b/packages/routing/tests/routing_test.cpp
@@ -0,0 +1,87 @@
+// Tests of the compiled configuration and the weighted split.
+
+#include "routing/route_table.h"
+#include "routing/traffic_split.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <cmath>
+
+using namespace quetzalspan;
+using namespace routing;
+
+namespace
+{
+
+route make_route(const std::string& name, const std::string& host, const std::string& prefix)
+{
+    route result;
+    result.name = name;
+    result.host = host;
+    result.prefix = prefix;
+    result.services = {{"orders", 1}};
+    return result;
+}
+
+} // namespace
+
+TEST_GROUP(route_table){};
+
+// Guards against a shorter prefix winning by its place in the configuration.
+TEST(route_table, the_longest_prefix_wins)
+{
+    configuration source;
+    source.routes = {make_route("wide", "desk.example", "/a/"), make_route("narrow", "desk.example", "/a/b/"),
+                     make_route("other", "mill.example", "/a/b/c/")};
+    const std::shared_ptr<const route_table> table = route_table::create(source);
+    CHECK_EQUAL(std::string("narrow"), table->find_route("desk.example", "/a/b/c/d")->name);
+    CHECK_EQUAL(std::string("wide"), table->find_route("DESK.example:8668", "/a/bc")->name);
+    CHECK(table->find_route("desk.example", "/b/") == nullptr);
+    CHECK(table->find_route("unknown.example", "/a/") == nullptr);
+}
+
+// Guards against a key that leads to another workspace or survives its removal.
+TEST(route_table, keys_lead_to_their_workspace)
+{
+    configuration source;
+    workspace first;
+    first.name = "harbour";
+    first.key_digests = {"aa", "bb"};
+    workspace second;
+    second.name = "mill";
+    second.key_digests = {"cc"};
+    source.workspaces = {first, second};
+    const std::shared_ptr<const route_table> table = route_table::create(source);
+    CHECK_EQUAL(std::string("harbour"), table->find_workspace("bb")->name);
+    CHECK_EQUAL(std::string("mill"), table->find_workspace("cc")->name);
+    CHECK(table->find_workspace("dd") == nullptr);
+}
+
+// Guards against homes of which only one side is looked at.
+TEST(route_table, homes_of_route_and_workspace_both_bind)
+{
+    CHECK(is_region_allowed({}, {}, "savo"));
+    CHECK(is_region_allowed({"savo"}, {}, "savo"));
+    CHECK_FALSE(is_region_allowed({"savo"}, {"perth"}, "savo"));
+    CHECK_FALSE(is_region_allowed({"savo", "perth"}, {"perth"}, "savo"));
+    CHECK(is_region_allowed({"savo", "perth"}, {"perth"}, "perth"));
+}
+
+TEST_GROUP(traffic_split){};
+
+// Guards against shares that drift off their weights in a window of 200 requests, whatever the offset is.
+TEST(traffic_split, each_window_holds_the_weights)
+{
+    route target = make_route("r", "desk.example", "/a/");
+    target.services = {{"orders", 90}, {"archive", 10}};
+    for (const double offset : {0.0, 0.37, 0.93}) {
+        traffic_split split(offset);
+        for (int window = 0; window < 20; ++window) {
+            int archive = 0;
+            for (int request = 0; request < 200; ++request) {
+                archive += split.next(target) == "archive" ? 1 : 0;
+            }
+            CHECK(std::abs(archive - 20) <= 3);
+        }
+    }
+}
--- a/packages/platform/async_lock.cpp
+++ b/packages/store/async_lock.cpp
@@ -1,11 +1,11 @@
 // Implements the lock on an Asio timer whose cancellation wakes the waiting coroutines.
 
-#include "platform/async_lock.h"
+#include "store/async_lock.h"
 
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
-namespace quetzalspan::platform
+namespace quetzalspan::store
 {
 
 namespace asio = boost::asio;
@@ -30,4 +30,4 @@
     m_free.cancel();
 }
 
-} // namespace quetzalspan::platform
+} // namespace quetzalspan::store
--- a/packages/platform/async_lock.h
+++ b/packages/store/async_lock.h
@@ -6,7 +6,7 @@
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/steady_timer.hpp>
 
-namespace quetzalspan::platform
+namespace quetzalspan::store
 {
 
 // All functions run on the executor given, which must be a strand if several threads run it. Waiting
@@ -46,4 +46,4 @@
     boost::asio::steady_timer m_free;
 };
 
-} // namespace quetzalspan::platform
+} // namespace quetzalspan::store
--- a/packages/platform/circuit_breaker.cpp
+++ b/packages/store/circuit_breaker.cpp
@@ -1,10 +1,10 @@
 // Implements the circuit breaker with exponential pauses and jitter.
 
-#include "platform/circuit_breaker.h"
+#include "store/circuit_breaker.h"
 
 #include <algorithm>
 
-namespace quetzalspan::platform
+namespace quetzalspan::store
 {
 
 namespace
@@ -55,4 +55,4 @@
     return core::duration(static_cast<std::int64_t>(static_cast<double>(full.count()) * fraction));
 }
 
-} // namespace quetzalspan::platform
+} // namespace quetzalspan::store
--- a/packages/platform/circuit_breaker.h
+++ b/packages/store/circuit_breaker.h
@@ -7,7 +7,7 @@
 #include <cstdint>
 #include <functional>
 
-namespace quetzalspan::platform
+namespace quetzalspan::store
 {
 
 struct breaker_options {
@@ -45,4 +45,4 @@
     core::instant m_blocked_until;
 };
 
-} // namespace quetzalspan::platform
+} // namespace quetzalspan::store
--- a/packages/platform/configuration_source.cpp
+++ b/packages/store/configuration_source.cpp
@@ -1,17 +1,17 @@
 // Implements the source of configurations on the store client.
 
-#include "platform/configuration_source.h"
+#include "store/configuration_source.h"
 
 #include "config/configuration_json.h"
 #include "core/findings.h"
 #include "core/log_event.h"
-#include "platform/records.h"
+#include "store/records.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/post.hpp>
 
-namespace quetzalspan::platform
+namespace quetzalspan::store
 {
 
 namespace asio = boost::asio;
@@ -186,4 +186,4 @@
     }
 }
 
-} // namespace quetzalspan::platform
+} // namespace quetzalspan::store
--- a/packages/platform/configuration_source.h
+++ b/packages/store/configuration_source.h
@@ -3,15 +3,15 @@
 #pragma once
 
 #include "config/model.h"
-#include "platform/stoppable_timer.h"
-#include "platform/store_client.h"
+#include "store/stoppable_timer.h"
+#include "store/store_client.h"
 
 #include <atomic>
 #include <functional>
 #include <memory>
 #include <string>
 
-namespace quetzalspan::platform
+namespace quetzalspan::store
 {
 
 struct configuration_options {
@@ -95,4 +95,4 @@
     configuration_statistics m_statistics;
 };
 
-} // namespace quetzalspan::platform
+} // namespace quetzalspan::store
--- a/packages/platform/ledger_store.cpp
+++ b/packages/store/ledger_store.cpp
@@ -1,10 +1,10 @@
 // Implements the ledger on the store client.
 
-#include "platform/ledger_store.h"
+#include "store/ledger_store.h"
 
 #include "core/digest.h"
 
-namespace quetzalspan::platform
+namespace quetzalspan::store
 {
 
 namespace asio = boost::asio;
@@ -109,4 +109,4 @@
     return {m_nonce, ++m_sequence};
 }
 
-} // namespace quetzalspan::platform
+} // namespace quetzalspan::store
--- a/packages/platform/ledger_store.h
+++ b/packages/store/ledger_store.h
@@ -3,8 +3,8 @@
 #pragma once
 
 #include "allowance/messages.h"
-#include "platform/records.h"
-#include "platform/store_client.h"
+#include "store/records.h"
+#include "store/store_client.h"
 
 #include <boost/asio/awaitable.hpp>
 
@@ -13,7 +13,7 @@
 #include <optional>
 #include <vector>
 
-namespace quetzalspan::platform
+namespace quetzalspan::store
 {
 
 struct stored_round {
@@ -62,4 +62,4 @@
     std::atomic<std::uint64_t> m_sequence{0};
 };
 
-} // namespace quetzalspan::platform
+} // namespace quetzalspan::store
--- a/packages/platform/ledger_watch.cpp
+++ b/packages/store/ledger_watch.cpp
@@ -1,16 +1,16 @@
 // Implements the view of the ledger on a mirror.
 
-#include "platform/ledger_watch.h"
+#include "store/ledger_watch.h"
 
 #include "core/findings.h"
 #include "core/log_event.h"
-#include "platform/records.h"
+#include "store/records.h"
 
-namespace quetzalspan::platform
+namespace quetzalspan::store
 {
 
 std::shared_ptr<ledger_watch> ledger_watch::create(boost::asio::any_io_executor executor,
-                                                   std::shared_ptr<store_client> client,
+                                                   std::shared_ptr<key_value_store> client,
                                                    mirror_options options, ledger_hooks hooks)
 {
     const std::shared_ptr<ledger_watch> result(new ledger_watch(std::move(hooks)));
@@ -48,4 +48,4 @@
     m_hooks.on_view(view);
 }
 
-} // namespace quetzalspan::platform
+} // namespace quetzalspan::store
--- a/packages/platform/ledger_watch.h
+++ b/packages/store/ledger_watch.h
@@ -2,14 +2,14 @@
 
 #pragma once
 
-#include "platform/ledger_store.h"
-#include "platform/prefix_mirror.h"
+#include "store/ledger_store.h"
+#include "store/prefix_mirror.h"
 
 #include <memory>
 #include <optional>
 #include <vector>
 
-namespace quetzalspan::platform
+namespace quetzalspan::store
 {
 
 struct ledger_view {
@@ -33,8 +33,8 @@
 public:
     // The prefix in the options is ignored.
     static std::shared_ptr<ledger_watch> create(boost::asio::any_io_executor executor,
-                                                std::shared_ptr<store_client> client, mirror_options options,
-                                                ledger_hooks hooks);
+                                                std::shared_ptr<key_value_store> client,
+                                                mirror_options options, ledger_hooks hooks);
 
     void start() { m_mirror->start(); }
     void stop() { m_mirror->stop(); }
@@ -52,4 +52,4 @@
     std::uint64_t m_invalid_records = 0;
 };
 
-} // namespace quetzalspan::platform
+} // namespace quetzalspan::store
--- a/packages/platform/member_registration.cpp
+++ b/packages/store/member_registration.cpp
@@ -1,6 +1,6 @@
 // Implements the registration of this instance as a member.
 
-#include "platform/member_registration.h"
+#include "store/member_registration.h"
 
 #include "core/digest.h"
 #include "core/findings.h"
@@ -12,7 +12,7 @@
 
 #include <algorithm>
 
-namespace quetzalspan::platform
+namespace quetzalspan::store
 {
 
 namespace asio = boost::asio;
@@ -323,4 +323,4 @@
     return state() == registration_state::joining || state() == registration_state::joined;
 }
 
-} // namespace quetzalspan::platform
+} // namespace quetzalspan::store
--- a/packages/platform/member_registration.h
+++ b/packages/store/member_registration.h
@@ -3,10 +3,10 @@
 #pragma once
 
 #include "membership/member.h"
-#include "platform/async_lock.h"
-#include "platform/records.h"
-#include "platform/stoppable_timer.h"
-#include "platform/store_client.h"
+#include "store/async_lock.h"
+#include "store/records.h"
+#include "store/stoppable_timer.h"
+#include "store/store_client.h"
 
 #include <atomic>
 #include <functional>
@@ -14,7 +14,7 @@
 #include <mutex>
 #include <vector>
 
-namespace quetzalspan::platform
+namespace quetzalspan::store
 {
 
 enum class fence_reason {
@@ -129,4 +129,4 @@
     registration_statistics m_statistics;
 };
 
-} // namespace quetzalspan::platform
+} // namespace quetzalspan::store
--- a/packages/platform/member_store.cpp
+++ b/packages/store/member_store.cpp
@@ -1,10 +1,10 @@
 // Implements the writes to member records of others.
 
-#include "platform/member_store.h"
+#include "store/member_store.h"
 
 #include "core/digest.h"
 
-namespace quetzalspan::platform
+namespace quetzalspan::store
 {
 
 namespace asio = boost::asio;
@@ -58,4 +58,4 @@
     co_return result;
 }
 
-} // namespace quetzalspan::platform
+} // namespace quetzalspan::store
--- a/packages/platform/member_store.h
+++ b/packages/store/member_store.h
@@ -2,15 +2,15 @@
 
 #pragma once
 
-#include "platform/membership_watch.h"
-#include "platform/records.h"
-#include "platform/store_client.h"
+#include "store/membership_watch.h"
+#include "store/records.h"
+#include "store/store_client.h"
 
 #include <boost/asio/awaitable.hpp>
 
 #include <memory>
 
-namespace quetzalspan::platform
+namespace quetzalspan::store
 {
 
 // Threads may share it. Every call throws store_unavailable or store_rejected.
@@ -32,4 +32,4 @@
     std::string m_nonce;
 };
 
-} // namespace quetzalspan::platform
+} // namespace quetzalspan::store
--- a/packages/platform/membership_watch.cpp
+++ b/packages/store/membership_watch.cpp
@@ -1,18 +1,18 @@
 // Implements the view of the members on two mirrors.
 
-#include "platform/membership_watch.h"
+#include "store/membership_watch.h"
 
 #include "core/findings.h"
 #include "core/log_event.h"
-#include "platform/records.h"
+#include "store/records.h"
 
-namespace quetzalspan::platform
+namespace quetzalspan::store
 {
 
 namespace asio = boost::asio;
 
 std::shared_ptr<membership_watch> membership_watch::create(asio::any_io_executor executor,
-                                                           std::shared_ptr<store_client> client,
+                                                           std::shared_ptr<key_value_store> client,
                                                            const mirror_options& options,
                                                            membership_hooks hooks)
 {
@@ -84,4 +84,4 @@
     m_hooks.on_view(view);
 }
 
-} // namespace quetzalspan::platform
+} // namespace quetzalspan::store
--- a/packages/platform/membership_watch.h
+++ b/packages/store/membership_watch.h
@@ -3,12 +3,12 @@
 #pragma once
 
 #include "membership/member.h"
-#include "platform/prefix_mirror.h"
+#include "store/prefix_mirror.h"
 
 #include <memory>
 #include <vector>
 
-namespace quetzalspan::platform
+namespace quetzalspan::store
 {
 
 struct member_view {
@@ -41,7 +41,7 @@
 public:
     // The prefix in the options is ignored.
     static std::shared_ptr<membership_watch> create(boost::asio::any_io_executor executor,
-                                                    std::shared_ptr<store_client> client,
+                                                    std::shared_ptr<key_value_store> client,
                                                     const mirror_options& options, membership_hooks hooks);
 
     void start();
@@ -65,4 +65,4 @@
     std::uint64_t m_invalid_records = 0;
 };
 
-} // namespace quetzalspan::platform
+} // namespace quetzalspan::store
--- a/packages/platform/prefix_mirror.cpp
+++ b/packages/store/prefix_mirror.cpp
@@ -1,6 +1,6 @@
 // Implements the copy of a prefix of the store.
 
-#include "platform/prefix_mirror.h"
+#include "store/prefix_mirror.h"
 
 #include "core/log_event.h"
 
@@ -8,12 +8,12 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/post.hpp>
 
-namespace quetzalspan::platform
+namespace quetzalspan::store
 {
 
 namespace asio = boost::asio;
 
-prefix_mirror::prefix_mirror(asio::any_io_executor executor, std::shared_ptr<store_client> client,
+prefix_mirror::prefix_mirror(asio::any_io_executor executor, std::shared_ptr<key_value_store> client,
                              mirror_options options, hooks callbacks)
     : m_executor(std::move(executor)),
       m_client(std::move(client)),
@@ -25,7 +25,7 @@
 }
 
 std::shared_ptr<prefix_mirror> prefix_mirror::create(asio::any_io_executor executor,
-                                                     std::shared_ptr<store_client> client,
+                                                     std::shared_ptr<key_value_store> client,
                                                      mirror_options options, hooks callbacks)
 {
     return std::shared_ptr<prefix_mirror>(
@@ -59,8 +59,11 @@
         } catch (const std::exception& error) {
             count_failure(error);
         }
+        if (m_is_listed && m_options.list_interval == core::duration(0)) {
+            co_return;
+        }
         // Until the first listing, the copy is of no use: try again sooner.
-        co_await m_list_timer.wait(m_is_listed ? m_options.list_interval : m_options.watch_pause);
+        co_await m_list_timer.wait(m_is_listed ? m_options.list_interval : m_options.retry_pause);
     }
 }
 
@@ -68,14 +71,16 @@
 {
     const std::shared_ptr<prefix_mirror> self = shared_from_this();
     while (!m_watch_timer.is_stopped()) {
+        bool has_failed = !m_is_listed;
         try {
             if (m_is_listed) {
                 co_await watch_once();
             }
         } catch (const std::exception& error) {
+            has_failed = true;
             count_failure(error);
         }
-        co_await m_watch_timer.wait(m_options.watch_pause);
+        co_await m_watch_timer.wait(has_failed ? m_options.retry_pause : m_options.watch_pause);
     }
 }
 
@@ -83,10 +88,14 @@
 {
     const std::uint64_t known = m_revision;
     ++m_statistics.lists;
+    const core::boot_instant sent = core::boot_clock::now();
     const listing found = co_await m_client->list(m_options.prefix);
     if (m_list_timer.is_stopped()) {
         co_return;
     }
+    if (m_hooks.on_answer) {
+        m_hooks.on_answer();
+    }
     const bool is_regression = m_is_listed && found.revision < known;
     if (is_regression) {
         ++m_statistics.regressions;
@@ -110,23 +119,78 @@
     if (!m_is_listed || is_regression) {
         m_watched_revision = found.revision;
     }
-    m_entries = std::move(entries);
+    take_over(std::move(entries));
     m_revision = found.revision;
     m_is_listed = true;
     if (is_updated) {
         m_hooks.on_update();
     }
+    confirm(sent);
+}
+
+void prefix_mirror::take_over(std::map<std::string, store_entry> entries)
+{
+    const std::map<std::string, store_entry> previous = std::exchange(m_entries, std::move(entries));
+    if (!m_hooks.on_entry) {
+        return;
+    }
+    for (const auto& [key, entry] : previous) {
+        if (!m_entries.contains(key)) {
+            m_hooks.on_entry(key, nullptr);
+        }
+    }
+    for (const auto& [key, entry] : m_entries) {
+        const std::map<std::string, store_entry>::const_iterator known = previous.find(key);
+        if (known == previous.end() || !(known->second == entry)) {
+            m_hooks.on_entry(key, &entry);
+        }
+    }
+}
+
+void prefix_mirror::apply(const store_change& change)
+{
+    const std::map<std::string, store_entry>::iterator known = m_entries.find(change.key);
+    // The pages of a listing can be newer than its revision, so a watch may repeat what they brought.
+    if (known != m_entries.end() && known->second.revision >= change.revision) {
+        return;
+    }
+    if (change.entry) {
+        const store_entry& entry = m_entries.insert_or_assign(change.key, *change.entry).first->second;
+        if (m_hooks.on_entry) {
+            m_hooks.on_entry(change.key, &entry);
+        }
+    } else if (known != m_entries.end()) {
+        m_entries.erase(known);
+        if (m_hooks.on_entry) {
+            m_hooks.on_entry(change.key, nullptr);
+        }
+    }
+}
+
+void prefix_mirror::confirm(core::boot_instant sent)
+{
+    if (std::exchange(m_is_failing, false)) {
+        core::info_event("store_regained").with("prefix", m_options.prefix).with("revision", m_revision);
+    }
+    if (m_hooks.on_confirmed) {
+        m_hooks.on_confirmed(sent);
+    }
 }
 
 asio::awaitable<void> prefix_mirror::watch_once()
 {
     const std::uint64_t after = m_watched_revision;
     ++m_statistics.watches;
+    const core::boot_instant sent = core::boot_clock::now();
     const watch_result found = co_await m_client->watch(m_options.prefix, after, m_options.watch_timeout);
     if (m_watch_timer.is_stopped()) {
         co_return;
     }
+    if (m_hooks.on_answer) {
+        m_hooks.on_answer();
+    }
     if (found.is_history_discarded) {
+        core::info_event("store_history_discarded").with("prefix", m_options.prefix).with("after", after);
         co_await list_once();
         m_watched_revision = m_revision;
         co_return;
@@ -142,22 +206,22 @@
         if (item.revision <= m_revision) {
             continue;
         }
-        if (item.entry) {
-            m_entries.insert_or_assign(item.key, *item.entry);
-        } else {
-            m_entries.erase(item.key);
-        }
+        apply(item);
     }
     if (found.revision > m_revision) {
         m_revision = found.revision;
         m_hooks.on_update();
     }
+    confirm(sent);
 }
 
 void prefix_mirror::count_failure(const std::exception& error)
 {
     ++m_statistics.failures;
+    if (!std::exchange(m_is_failing, true)) {
+        core::warning_event("store_lost").with("prefix", m_options.prefix).with("error", error.what());
+    }
     core::debug_event("store_mirror_failed").with("prefix", m_options.prefix).with("error", error.what());
 }
 
-} // namespace quetzalspan::platform
+} // namespace quetzalspan::store
--- a/packages/platform/prefix_mirror.h
+++ b/packages/store/prefix_mirror.h
@@ -2,14 +2,15 @@
 
 #pragma once
 
-#include "platform/stoppable_timer.h"
-#include "platform/store_client.h"
+#include "core/boot_clock.h"
+#include "store/key_value_store.h"
+#include "store/stoppable_timer.h"
 
 #include <functional>
 #include <map>
 #include <memory>
 
-namespace quetzalspan::platform
+namespace quetzalspan::store
 {
 
 struct mirror_options {
@@ -19,7 +20,10 @@
     // Pause after each watch. Changes that come meanwhile arrive together, so that n members that renew their
     // records do not cost each member n calls per second.
     core::duration watch_pause = std::chrono::milliseconds(500);
-    // A watch can stall silently; listing again bounds for how long the copy can be out of date.
+    // Pause after a call that failed.
+    core::duration retry_pause = std::chrono::milliseconds(500);
+    // A watch can stall silently; listing again bounds for how long the copy can be out of date. Zero lists
+    // only at the start and when the history was discarded; then the time-out of the watch is the bound.
     core::duration list_interval = std::chrono::seconds(5);
 };
 
@@ -38,13 +42,20 @@
     struct hooks {
         // Called when the copy or its revision has changed, and after the first listing.
         std::function<void()> on_update;
+        // Called for each entry that is new, changed or, without a value, gone, before on_update.
+        std::function<void(const std::string& key, const store_entry*)> on_entry;
+        // Called when a call has succeeded, before its changes are reported.
+        std::function<void()> on_answer;
+        // Called after each call that succeeded, with the time at which it was sent: the copy holds every
+        // change that the store acknowledged before that time.
+        std::function<void(core::boot_instant)> on_confirmed;
         // Called with the offered and the known revision before the older state is taken over.
         std::function<void(std::uint64_t, std::uint64_t)> on_regression;
     };
 
     static std::shared_ptr<prefix_mirror> create(boost::asio::any_io_executor executor,
-                                                 std::shared_ptr<store_client> client, mirror_options options,
-                                                 hooks callbacks);
+                                                 std::shared_ptr<key_value_store> client,
+                                                 mirror_options options, hooks callbacks);
 
     // Starts the loops. After stop() no hook is called; a pending watch ends by its time-out.
     void start();
@@ -62,25 +73,30 @@
     const mirror_statistics& statistics() const { return m_statistics; }
 
 private:
-    prefix_mirror(boost::asio::any_io_executor executor, std::shared_ptr<store_client> client,
+    prefix_mirror(boost::asio::any_io_executor executor, std::shared_ptr<key_value_store> client,
                   mirror_options options, hooks callbacks);
 
     boost::asio::awaitable<void> run_lists();
     boost::asio::awaitable<void> run_watches();
     void count_failure(const std::exception& error);
+    void confirm(core::boot_instant sent);
+    void take_over(std::map<std::string, store_entry> entries);
+    void apply(const store_change& change);
 
     boost::asio::any_io_executor m_executor;
-    std::shared_ptr<store_client> m_client;
+    std::shared_ptr<key_value_store> m_client;
     mirror_options m_options;
     hooks m_hooks;
     stoppable_timer m_list_timer;
     stoppable_timer m_watch_timer;
     std::map<std::string, store_entry> m_entries;
     bool m_is_listed = false;
+    // Whether the last call failed.
+    bool m_is_failing = false;
     std::uint64_t m_revision = 0;
     // Where the next watch continues; differs from m_revision when a listing was newer than the watch.
     std::uint64_t m_watched_revision = 0;
     mirror_statistics m_statistics;
 };
 
-} // namespace quetzalspan::platform
+} // namespace quetzalspan::store
--- a/packages/platform/records.cpp
+++ b/packages/store/records.cpp
@@ -1,11 +1,11 @@
 // Implements the records on the common JSON parts.
 
-#include "platform/records.h"
+#include "store/records.h"
 
 #include "codec/record_parts.h"
 #include "core/digest.h"
 
-namespace quetzalspan::platform
+namespace quetzalspan::store
 {
 
 namespace
@@ -150,4 +150,4 @@
     return result;
 }
 
-} // namespace quetzalspan::platform
+} // namespace quetzalspan::store
--- a/packages/platform/records.h
+++ b/packages/store/records.h
@@ -12,7 +12,7 @@
 #include <string>
 #include <string_view>
 
-namespace quetzalspan::platform
+namespace quetzalspan::store
 {
 
 inline constexpr std::uint32_t record_version = 1;
@@ -70,4 +70,4 @@
 allowance::share_report report_from_record(std::string_view text, const std::string& source);
 claim claim_from_record(std::string_view text, const std::string& source);
 
-} // namespace quetzalspan::platform
+} // namespace quetzalspan::store
--- a/packages/platform/stoppable_timer.cpp
+++ b/packages/store/stoppable_timer.cpp
@@ -1,11 +1,11 @@
 // Implements the pause on an Asio timer.
 
-#include "platform/stoppable_timer.h"
+#include "store/stoppable_timer.h"
 
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
-namespace quetzalspan::platform
+namespace quetzalspan::store
 {
 
 namespace asio = boost::asio;
@@ -26,4 +26,4 @@
     m_timer.cancel();
 }
 
-} // namespace quetzalspan::platform
+} // namespace quetzalspan::store
--- a/packages/platform/stoppable_timer.h
+++ b/packages/store/stoppable_timer.h
@@ -7,7 +7,7 @@
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/steady_timer.hpp>
 
-namespace quetzalspan::platform
+namespace quetzalspan::store
 {
 
 // Every function runs on the executor given.
@@ -27,4 +27,4 @@
     bool m_is_stopped = false;
 };
 
-} // namespace quetzalspan::platform
+} // namespace quetzalspan::store
--- a/packages/platform/store_client.cpp
+++ b/packages/store/store_client.cpp
@@ -1,13 +1,13 @@
 // Implements the store client over HTTP and JSON.
 
-#include "platform/store_client.h"
+#include "store/store_client.h"
 
 #include "codec/json_reader.h"
 #include "core/log_event.h"
 
 #include <random>
 
-namespace quetzalspan::platform
+namespace quetzalspan::store
 {
 
 namespace asio = boost::asio;
@@ -375,4 +375,4 @@
     }
 }
 
-} // namespace quetzalspan::platform
+} // namespace quetzalspan::store
--- a/packages/platform/store_client.h
+++ b/packages/store/store_client.h
@@ -4,8 +4,8 @@
 
 #include "core/time.h"
 #include "http/client.h"
-#include "platform/circuit_breaker.h"
-#include "platform/store_types.h"
+#include "store/circuit_breaker.h"
+#include "store/key_value_store.h"
 
 #include <boost/asio/awaitable.hpp>
 
@@ -15,7 +15,7 @@
 #include <string>
 #include <vector>
 
-namespace quetzalspan::platform
+namespace quetzalspan::store
 {
 
 struct store_address {
@@ -48,34 +48,32 @@
 // Threads may share a client. Reads and lists try each address once; a write goes to a further address only
 // if it was certainly not executed at the one before. Every call throws store_unavailable if no address can
 // be used, and store_rejected if the store refuses the request itself.
-class store_client
+class store_client : public key_value_store
 {
 public:
     // Throws std::invalid_argument without addresses, boost::system::system_error for one that is not
     // numeric.
     store_client(boost::asio::any_io_executor executor, store_options options, store_hooks hooks = {});
 
-    store_client(const store_client&) = delete;
-    store_client& operator=(const store_client&) = delete;
-
     boost::asio::awaitable<read_result> read(std::string key);
-    boost::asio::awaitable<listing> list(std::string prefix);
+    boost::asio::awaitable<listing> list(std::string prefix) override;
 
     // Writes if the entry's revision is the expected one; 0 means that there must be no entry.
     boost::asio::awaitable<write_result> write(std::string key, std::string value,
-                                               std::uint64_t expected_revision, std::uint64_t lease = 0);
+                                               std::uint64_t expected_revision,
+                                               std::uint64_t lease = 0) override;
     boost::asio::awaitable<write_result> erase(std::string key, std::uint64_t expected_revision);
 
     // Returns the changes under the prefix after the revision, waiting for the first one at most the
     // time-out. A watch never counts against an address by timing out: it may have stalled on its own.
     boost::asio::awaitable<watch_result> watch(std::string prefix, std::uint64_t after_revision,
-                                               core::duration timeout);
+                                               core::duration timeout) override;
 
     // Returns the new lease. A lost response leaves a lease that expires unused; the call throws
     // store_unavailable.
-    boost::asio::awaitable<std::uint64_t> create_lease(core::duration time_to_live);
-    boost::asio::awaitable<lease_outcome> keep_alive(std::uint64_t lease);
-    boost::asio::awaitable<lease_outcome> revoke_lease(std::uint64_t lease);
+    boost::asio::awaitable<std::uint64_t> create_lease(core::duration time_to_live) override;
+    boost::asio::awaitable<lease_outcome> keep_alive(std::uint64_t lease) override;
+    boost::asio::awaitable<lease_outcome> revoke_lease(std::uint64_t lease) override;
 
     // The platform's lagging list of live and leaving instances.
     boost::asio::awaitable<std::vector<instance_entry>> instances();
@@ -110,4 +108,4 @@
     store_statistics m_statistics;
 };
 
-} // namespace quetzalspan::platform
+} // namespace quetzalspan::store
--- a/packages/platform/store_types.h
+++ b/packages/store/store_types.h
@@ -8,7 +8,7 @@
 #include <string>
 #include <vector>
 
-namespace quetzalspan::platform
+namespace quetzalspan::store
 {
 
 struct store_entry {
@@ -92,4 +92,4 @@
     using std::runtime_error::runtime_error;
 };
 
-} // namespace quetzalspan::platform
+} // namespace quetzalspan::store
--- a/packages/platform/tests/configuration_source_test.cpp
+++ b/packages/store/tests/configuration_source_test.cpp
@@ -1,6 +1,6 @@
 // Contract tests of the source of configurations, with the faults of the store.
 
-#include "platform/configuration_source.h"
+#include "store/configuration_source.h"
 
 #include "config/configuration_json.h"
 #include "store_fixture.h"
@@ -8,7 +8,7 @@
 #include <CppUTest/TestHarness.h>
 
 using namespace quetzalspan;
-using namespace platform;
+using namespace store;
 
 TEST_GROUP(configuration_source)
 {
--- a/packages/platform/tests/ledger_store_test.cpp
+++ b/packages/store/tests/ledger_store_test.cpp
@@ -1,12 +1,12 @@
 // Contract tests of the ledger in the store.
 
-#include "platform/ledger_store.h"
+#include "store/ledger_store.h"
 #include "store_fixture.h"
 
 #include <CppUTest/TestHarness.h>
 
 using namespace quetzalspan;
-using namespace platform;
+using namespace store;
 
 TEST_GROUP(ledger_store)
 {
--- a/packages/platform/tests/member_registration_test.cpp
+++ b/packages/store/tests/member_registration_test.cpp
@@ -1,13 +1,13 @@
 // Contract tests of the registration of a member, with the faults of the store.
 
-#include "platform/member_registration.h"
-#include "platform/member_store.h"
+#include "store/member_registration.h"
+#include "store/member_store.h"
 #include "store_fixture.h"
 
 #include <CppUTest/TestHarness.h>
 
 using namespace quetzalspan;
-using namespace platform;
+using namespace store;
 
 TEST_GROUP(member_registration)
 {
--- a/packages/platform/tests/mirror_test.cpp
+++ b/packages/store/tests/mirror_test.cpp
@@ -1,15 +1,15 @@
 // Contract tests of the watches of members and ledger, with the faults of the store.
 
-#include "platform/ledger_watch.h"
-#include "platform/membership_watch.h"
-#include "platform/records.h"
+#include "store/ledger_watch.h"
+#include "store/membership_watch.h"
+#include "store/records.h"
 #include "store_fixture.h"
 #include "watch_gate.h"
 
 #include <CppUTest/TestHarness.h>
 
 using namespace quetzalspan;
-using namespace platform;
+using namespace store;
 
 TEST_GROUP(mirror)
 {
--- a/packages/platform/tests/records_test.cpp
+++ b/packages/store/tests/records_test.cpp
@@ -1,6 +1,6 @@
 // Contract tests of the records in the store.
 
-#include "platform/records.h"
+#include "store/records.h"
 
 #include "core/findings.h"
 
@@ -9,7 +9,7 @@
 #include <CppUTest/TestHarness.h>
 
 using namespace quetzalspan;
-using namespace platform;
+using namespace store;
 
 namespace
 {
--- a/packages/platform/tests/store_client_test.cpp
+++ b/packages/store/tests/store_client_test.cpp
@@ -7,7 +7,7 @@
 #include <CppUTest/TestHarness.h>
 
 using namespace quetzalspan;
-using namespace platform;
+using namespace store;
 
 namespace
 {
--- a/packages/platform/tests/store_fixture.h
+++ b/packages/store/tests/store_fixture.h
@@ -2,8 +2,8 @@
 
 #pragma once
 
-#include "platform/store_client.h"
 #include "standins/store/store_server.h"
+#include "store/store_client.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/io_context.hpp>
@@ -11,7 +11,7 @@
 
 #include <memory>
 
-namespace quetzalspan::platform
+namespace quetzalspan::store
 {
 
 class store_fixture
@@ -78,4 +78,4 @@
     std::shared_ptr<standin_store::store_server> server;
 };
 
-} // namespace quetzalspan::platform
+} // namespace quetzalspan::store
--- a/packages/platform/tests/watch_gate.h
+++ b/packages/store/tests/watch_gate.h
@@ -11,7 +11,7 @@
 
 #include <memory>
 
-namespace quetzalspan::platform
+namespace quetzalspan::store
 {
 
 class watch_gate
@@ -61,4 +61,4 @@
     int m_held = 0;
 };
 
-} // namespace quetzalspan::platform
+} // namespace quetzalspan::store
--- a/packages/upstream/forwarder.h
+++ b/packages/upstream/forwarder.h
@@ -73,6 +73,9 @@
     boost::asio::awaitable<std::optional<forward_failure>> open(const boost::asio::ip::tcp::endpoint& address,
                                                                 core::instant deadline, core::instant now);
 
+    // Moves the deadline of the steps that follow.
+    void set_deadline(core::instant deadline) { m_deadline->set(deadline); }
+
     // Writes a part of the request.
     boost::asio::awaitable<std::optional<forward_failure>> write(const write_buffers& buffers);
 
--- a/services/quetzald/daemon.cpp
+++ b/services/quetzald/daemon.cpp
@@ -88,9 +88,9 @@
     return options;
 }
 
-platform::store_options make_store_options(const config::settings& settings)
+store::store_options make_store_options(const config::settings& settings)
 {
-    platform::store_options options;
+    store::store_options options;
     for (const config::host_port& address : settings.platform) {
         options.addresses.push_back({address.host, address.port});
     }
@@ -158,8 +158,8 @@
 
 void daemon::create_callers()
 {
-    m_store = std::make_shared<platform::store_client>(m_control_context.get_executor(),
-                                                       make_store_options(m_settings));
+    m_store = std::make_shared<store::store_client>(m_control_context.get_executor(),
+                                                    make_store_options(m_settings));
     if (m_settings.idempotency != config::idempotency_policy::pass) {
         m_claims = std::make_unique<node::claim_keeper>(m_control_context.get_executor(), m_store);
     }
--- a/services/quetzald/daemon.h
+++ b/services/quetzald/daemon.h
@@ -68,7 +68,7 @@
     node::request_policy m_policy;
     std::shared_ptr<upstream::connection_pool> m_pool;
 
-    std::shared_ptr<platform::store_client> m_store;
+    std::shared_ptr<store::store_client> m_store;
     std::unique_ptr<node::claim_keeper> m_claims;
     std::unique_ptr<node::endpoint_prober> m_prober;
     std::unique_ptr<fellow::fellow_directory> m_fellows;
--- a/services/quetzald/main.cpp
+++ b/services/quetzald/main.cpp
@@ -3,6 +3,7 @@
 #include "config/settings_yaml.h"
 #include "core/findings.h"
 #include "core/log_event.h"
+#include "platform/adapter.h"
 #include "quetzald/daemon.h"
 #include "quetzald/settings_loader.h"
 
@@ -15,6 +16,10 @@
 
 ABSL_FLAG(std::string, settings, "quetzald.yaml", "File with the settings of this instance.");
 ABSL_FLAG(std::vector<std::string>, set, {}, "Settings that override the file: name=value,name=value.");
+ABSL_FLAG(
+    std::string, deployment, "registry",
+    "Where settings and configuration come from: registry (a settings file and the product's registry) or "
+    "platform (the users' platform).");
 ABSL_FLAG(bool, check, false, "Check the settings and exit.");
 ABSL_FLAG(bool, print_settings, false, "Print the settings in force, without the secret, and exit.");
 
@@ -24,6 +29,22 @@
 constexpr int exit_findings = 1;
 constexpr int exit_failure = 2;
 
+// Runs an instance on the users' platform, which passes the settings in a file of its own.
+int run_on_platform()
+{
+    const quetzalspan::platform::platform_settings settings = quetzalspan::platform::load_platform_settings();
+    if (absl::GetFlag(FLAGS_check)) {
+        std::cout << "settings are valid\n";
+        return 0;
+    }
+    try {
+        return quetzalspan::platform::run_instance(settings);
+    } catch (const std::exception& error) {
+        quetzalspan::core::error_event("start_failed").with("error", error.what());
+        return exit_failure;
+    }
+}
+
 int run(const quetzalspan::config::settings& settings)
 {
     try {
@@ -46,6 +67,14 @@
     absl::ParseCommandLine(argc, argv);
     const log4cplus::Initializer log_initializer;
     try {
+        const std::string deployment = absl::GetFlag(FLAGS_deployment);
+        if (deployment == "platform") {
+            return run_on_platform();
+        }
+        if (deployment != "registry") {
+            std::cerr << "--deployment: unknown value " << deployment << "; use registry or platform\n";
+            return exit_findings;
+        }
         const quetzalspan::config::settings settings =
             quetzalspan::quetzald::load_settings(absl::GetFlag(FLAGS_settings), absl::GetFlag(FLAGS_set));
         if (absl::GetFlag(FLAGS_print_settings)) {
