Caller: Count a send when it is written

Ruled out: the fleet-wide budget (the broken requests all exceed their own limit). Change: the send is counted when the request has been written.

--- a/packages/caller/request_exchange.cpp
+++ b/packages/caller/request_exchange.cpp
@@ -333,7 +333,6 @@
         co_await m_body.stop_upload();
     }
     m_current = nullptr;
-    m_sends += exchange.has_written() ? 1 : 0;
     if (exchange.has_written() && !(failed && is_reported_not_run(failed->at))) {
         m_may_have_run = true;
     }
@@ -370,6 +369,7 @@
                               ? std::min(m_summary.deadline, current_time() + lease.patience())
                               : m_summary.deadline);
     const std::optional<upstream::forward_failure> unwritten = co_await write_request(exchange, lease);
+    m_sends += exchange.has_written() ? 1 : 0;
     if (unwritten && !exchange.has_written()) {
         co_return failure_of(*unwritten);
     }
--- a/packages/caller/tests/scripted_upstream.cpp
+++ b/packages/caller/tests/scripted_upstream.cpp
@@ -49,6 +49,19 @@
         return "no HTTP at all\r\n\r\n";
     case upstream_step::ambiguous_response:
         return "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n" + length;
+    case upstream_step::server_error:
+        return "HTTP/1.1 500 Failed\r\nQuetzal-Request-Id: own\r\n" + length;
+    case upstream_step::answer_unframed:
+        return "HTTP/1.1 200 OK\r\nX-Signature: s\r\nQuetzal-Request-Id: own\r\n\r\n" + body;
+    case upstream_step::reset_within_unframed_body:
+        return "HTTP/1.1 200 OK\r\nX-Signature: s\r\nQuetzal-Request-Id: own\r\n\r\n" + body.substr(0, 2);
+    case upstream_step::answer_after_foreign:
+        return "HTTP/1.1 200 OK\r\nX-Signature: s\r\nQuetzal-Request-Id: other\r\nContent-Length: "
+               "5\r\n\r\nalien"
+               "HTTP/1.1 200 OK\r\nX-Signature: s\r\nQuetzal-Request-Id: own\r\n" +
+               length;
+    case upstream_step::misdirected:
+        return "HTTP/1.1 421 Misdirected Request\r\nContent-Length: 5\r\n\r\nother";
     case upstream_step::shed:
         return "HTTP/1.1 503 Busy\r\nQuetzal-Outcome: not-run\r\nContent-Length: 4\r\n\r\nbusy";
     case upstream_step::answer_early:
@@ -208,7 +221,8 @@
             }
         }
         const std::string id(parser.get()["Quetzal-Request-Id"]);
-        if (step != upstream_step::shed && step != upstream_step::answer_early) {
+        if (step != upstream_step::shed && step != upstream_step::answer_early &&
+            step != upstream_step::misdirected) {
             record_execution(id);
         }
         std::string body;
@@ -251,8 +265,12 @@
             ++m_cancelled;
             co_return;
         }
-        if (step == upstream_step::answer_and_close || step == upstream_step::malformed_response ||
-            step == upstream_step::ambiguous_response) {
+        if (step == upstream_step::reset_within_unframed_body) {
+            reset(socket);
+            co_return;
+        }
+        if (step == upstream_step::answer_unframed || step == upstream_step::answer_and_close ||
+            step == upstream_step::malformed_response || step == upstream_step::ambiguous_response) {
             socket.close(error);
             co_return;
         }
--- a/packages/caller/tests/scripted_upstream.h
+++ b/packages/caller/tests/scripted_upstream.h
@@ -31,6 +31,15 @@
     // Runs the request and answers with a header that is no HTTP.
     malformed_response,
     ambiguous_response,
+    // Runs the request and answers 500.
+    server_error,
+    // Runs the request and ends a body without length by closing, or by a reset in the middle of it.
+    answer_unframed,
+    reset_within_unframed_body,
+    // Answers for another request first, and then for this one.
+    answer_after_foreign,
+    // Answers 421: another endpoint has the address.
+    misdirected,
     // Answers that the request was not run.
     shed,
     // Runs the request and never answers.
