HTTP: Bound the time to open a connection

An instance that had been cut off from the store noticed the end of the cut 0.8 s late, because its pending connection attempt was repeated by the kernel only after a second; the grace time for missing endpoint records then ended after the bound. Ruled out: a lost change (the listing after the cut did show the endpoint missing). Test: http.a_connection_that_does_not_open_fails_within_its_own_limit.

--- a/packages/fellow/fellow_client.cpp
+++ b/packages/fellow/fellow_client.cpp
@@ -45,7 +45,7 @@
     : m_peer(std::move(peer)),
       m_authenticator(std::move(authenticator)),
       m_options(std::move(options)),
-      m_client(std::move(executor), m_peer.host, m_peer.port, reply_limit_bytes)
+      m_client(std::move(executor), m_peer.host, m_peer.port, http::client_options{reply_limit_bytes})
 {
 }
 
--- a/packages/http/client.cpp
+++ b/packages/http/client.cpp
@@ -57,11 +57,11 @@
 } // namespace
 
 client::client(asio::any_io_executor executor, const std::string& host, std::uint16_t port,
-               std::uint64_t body_limit_bytes)
+               client_options options)
     : m_executor(executor),
       m_host(host),
       m_address(asio::ip::make_address(host), port),
-      m_body_limit_bytes(body_limit_bytes)
+      m_options(options)
 {
 }
 
@@ -123,7 +123,7 @@
         }
     }
     if (!stream) {
-        stream = co_await connect(timeout);
+        stream = co_await connect(std::min(timeout, m_options.connect_timeout));
     }
     stream->expires_after(timeout);
     beast::error_code error;
@@ -133,7 +133,7 @@
     }
     beast::flat_buffer buffer;
     beast::http::response_parser<beast::http::string_body> parser;
-    parser.body_limit(m_body_limit_bytes);
+    parser.body_limit(m_options.body_limit_bytes);
     co_await beast::http::async_read(*stream, buffer, parser,
                                      asio::redirect_error(asio::use_awaitable, error));
     if (error) {
--- a/packages/http/client.h
+++ b/packages/http/client.h
@@ -46,13 +46,20 @@
     transport_failure m_kind;
 };
 
+struct client_options {
+    std::uint64_t body_limit_bytes = 2 * 1024 * 1024;
+    // Time to open a connection, within the time allowed for the message. A packet that is lost while the peer is
+    // cut off is sent again only after a second, so a short limit notices the end of the cut sooner.
+    core::duration connect_timeout = std::chrono::seconds(1);
+};
+
 // Threads may share a client. A connection carries one message at a time and is dropped after any error.
 class client
 {
 public:
     // The host is a numeric address. Throws boost::system::system_error if it is not.
     client(boost::asio::any_io_executor executor, const std::string& host, std::uint16_t port,
-           std::uint64_t body_limit_bytes = 2 * 1024 * 1024);
+           client_options options = {});
 
     client(const client&) = delete;
     client& operator=(const client&) = delete;
@@ -77,7 +84,7 @@
     boost::asio::any_io_executor m_executor;
     std::string m_host;
     boost::asio::ip::tcp::endpoint m_address;
-    std::uint64_t m_body_limit_bytes;
+    client_options m_options;
     std::mutex m_idle_guard;
     std::vector<stream_pointer> m_idle;
 };
--- a/packages/http/tests/http_test.cpp
+++ b/packages/http/tests/http_test.cpp
@@ -99,3 +99,34 @@
     CHECK_FALSE(parsed.find_parameter("missing").has_value());
     CHECK_THROWS(std::invalid_argument, http::target::create("no path"));
 }
+
+// Guards against a connection attempt that uses up the whole time of the message: while the peer is cut off, only a
+// new attempt notices the end of the cut.
+TEST(http, a_connection_that_does_not_open_fails_within_its_own_limit)
+{
+    // The queue of a listener that accepts nothing fills up, and further attempts get no answer.
+    asio::ip::tcp::acceptor silent(context);
+    silent.open(asio::ip::tcp::v4());
+    silent.bind({asio::ip::make_address("127.0.0.1"), 0});
+    silent.listen(0);
+    std::vector<asio::ip::tcp::socket> queued;
+    for (int index = 0; index < 4; ++index) {
+        queued.emplace_back(context);
+        queued.back().async_connect(silent.local_endpoint(), [](const boost::system::error_code&) {});
+    }
+    http::client client(context.get_executor(), "127.0.0.1", silent.local_endpoint().port(),
+                        {1024, std::chrono::milliseconds(50)});
+    const core::instant begun = std::chrono::steady_clock::now();
+    std::optional<http::transport_failure> failure;
+    try {
+        run(client.send({}, std::chrono::minutes(5)));
+    } catch (const http::transport_error& error) {
+        failure = error.kind();
+    }
+    CHECK(failure == http::transport_failure::not_connected);
+    // Far above the limit of the connection and far below that of the message.
+    CHECK(std::chrono::steady_clock::now() - begun < std::chrono::minutes(1));
+    for (asio::ip::tcp::socket& socket : queued) {
+        socket.close();
+    }
+}
--- a/packages/operator/store_connection.cpp
+++ b/packages/operator/store_connection.cpp
@@ -56,7 +56,7 @@
     }
     for (const config::host_port& address : addresses) {
         m_clients.push_back(std::make_unique<http::client>(m_context.get_executor(), address.host,
-                                                           address.port, body_limit_bytes));
+                                                           address.port, http::client_options{body_limit_bytes}));
     }
 }
 
--- a/packages/upstream/probe.cpp
+++ b/packages/upstream/probe.cpp
@@ -65,7 +65,7 @@
     watched_endpoint(const asio::any_io_executor& executor, probe_target the_target)
         : target(std::move(the_target)),
           timer(executor),
-          client(executor, target.host, target.port, report_limit_bytes)
+          client(executor, target.host, target.port, http::client_options{report_limit_bytes})
     {
     }
 
--- a/standins/caller/caller_standin.cpp
+++ b/standins/caller/caller_standin.cpp
@@ -67,7 +67,7 @@
     std::unique_ptr<http::client>& entry = m_clients[{instance.host, instance.port}];
     if (!entry) {
         entry = std::make_unique<http::client>(m_context.get_executor(), instance.host, instance.port,
-                                               response_limit_bytes);
+                                               http::client_options{response_limit_bytes});
     }
     return *entry;
 }
