--- a/packages/caller/request_exchange.cpp
+++ b/packages/caller/request_exchange.cpp
@@ -101,9 +101,11 @@
         m_summary.idempotency_key = to_view(m_header[profile.idempotency_key_field]);
     }
     if (!profile.affinity_cookie.empty()) {
-        m_summary.affinity = dispatch::find_cookie(m_header, profile.affinity_cookie);
+        m_affinity = dispatch::find_cookie(m_header, profile.affinity_cookie);
+        m_summary.affinity = m_affinity;
     }
-    m_summary.host = to_view(m_header[beast::http::field::host]);
+    m_host = to_view(m_header[beast::http::field::host]);
+    m_summary.host = m_host;
     m_summary.request_id = m_request_id;
     m_summary.peer_address = m_stream.peer_address();
     m_summary.is_idempotent = dispatch::is_idempotent_method(m_summary.method);
--- a/packages/caller/request_exchange.h
+++ b/packages/caller/request_exchange.h
@@ -93,6 +93,9 @@
     boost::beast::http::request_header<> m_header;
     dispatch::key_header m_key;
     std::string m_request_id;
+    // Copies, because the header changes while it is prepared for an upstream.
+    std::string m_host;
+    std::string m_affinity;
     request_summary m_summary;
     std::optional<core::duration> m_allowed_time;
     request_body m_body;
--- a/packages/edge/upstreams.cpp
+++ b/packages/edge/upstreams.cpp
@@ -75,6 +75,13 @@
     };
 
     const std::lock_guard<std::mutex> guard(m_guard);
+    const std::map<std::string, placement::region_weights>::const_iterator weights =
+        m_region_weights.find(*request.service);
+    if (weights != m_region_weights.end() && workspace_homes.empty()) {
+        wanted.region_weight = [weights](const std::string& region) {
+            return weights->second.weight(region);
+        };
+    }
     const placement::choice chosen =
         placement::choose_endpoint(m_catalog, wanted, m_position, m_options.choice, now);
     if (!chosen.target) {
@@ -201,8 +208,31 @@
 
 void upstreams::set_table(std::shared_ptr<const routing::route_table> table)
 {
+    std::vector<placement::homed_demand> homed;
+    double total = 0;
+    for (const routing::workspace& workspace : table->source().workspaces) {
+        total += workspace.rate;
+    }
+    for (const routing::workspace& workspace : table->source().workspaces) {
+        if (!workspace.home_regions.empty() && total > 0) {
+            homed.push_back({workspace.rate / total, workspace.home_regions});
+        }
+    }
     const std::lock_guard<std::mutex> guard(m_guard);
     m_table = std::move(table);
+    m_homed = std::move(homed);
+}
+
+void upstreams::update_region_weights(const std::string& service,
+                                      const std::vector<endpoint_pointer>& endpoints, core::instant now)
+{
+    std::map<std::string, double> slots;
+    for (const endpoint_pointer& entry : endpoints) {
+        if (placement::may_receive(*entry)) {
+            slots[entry->record.region] += entry->record.slots;
+        }
+    }
+    m_region_weights.try_emplace(service, m_options.regions).first->second.update(slots, m_homed, now);
 }
 
 void upstreams::judge_service(const std::vector<endpoint_pointer>& endpoints, core::instant now)
@@ -245,6 +275,7 @@
     for (const routing::service& service : m_table->source().services) {
         const std::vector<endpoint_pointer>& endpoints = m_catalog.find_service(service.name);
         if (!endpoints.empty()) {
+            update_region_weights(service.name, endpoints, now);
             judge_service(endpoints, now);
         }
     }
--- a/packages/edge/upstreams.h
+++ b/packages/edge/upstreams.h
@@ -7,6 +7,7 @@
 #include "edge/instance_options.h"
 #include "placement/endpoint_choice.h"
 #include "placement/endpoint_health.h"
+#include "placement/region_weights.h"
 #include "routing/route_table.h"
 
 #include <functional>
@@ -23,6 +24,7 @@
     placement::catalog_options catalog;
     placement::choice_options choice;
     placement::health_options health;
+    placement::region_weight_options regions;
     std::string own_region;
     double cold_factor = 1;
     double cold_slack = 0;
@@ -82,6 +84,8 @@
                  const caller::attempt_result& result);
     core::duration patience_for(const std::string& service) const;
     void judge_service(const std::vector<placement::endpoint_pointer>& endpoints, core::instant now);
+    void update_region_weights(const std::string& service,
+                               const std::vector<placement::endpoint_pointer>& endpoints, core::instant now);
     static placement::attempt_outcome to_outcome(const caller::attempt_result& result);
     static void log_change(placement::catalog_change change, const placement::endpoint& about);
 
@@ -96,6 +100,9 @@
     placement::endpoint_catalog m_catalog;
     placement::fleet_position m_position;
     std::map<std::string, core::duration> m_median_latency;
+    // By service.
+    std::map<std::string, placement::region_weights> m_region_weights;
+    std::vector<placement::homed_demand> m_homed;
 };
 
 } // namespace quetzalspan::edge
--- a/packages/placement/endpoint_choice.cpp
+++ b/packages/placement/endpoint_choice.cpp
@@ -79,7 +79,9 @@
         }
         ++result.candidates;
         const bool is_own_region = entry->record.region == request.own_region;
-        const double weight = is_own_region ? options.own_region_weight : 1.0;
+        const double region_weight =
+            request.region_weight ? request.region_weight(entry->record.region) : 1.0;
+        const double weight = (is_own_region ? options.own_region_weight : 1.0) * region_weight;
         const double score = -std::log(unit_hash(object_hash, entry->hash)) / weight;
         first_score = result.candidates == 1 ? score : std::min(first_score, score);
         const reluctance level = reluctance_of(*entry, request, fleet, options, now);
--- a/packages/placement/endpoint_choice.h
+++ b/packages/placement/endpoint_choice.h
@@ -39,6 +39,8 @@
     std::string_view own_region;
     // Whether the region may serve the request.
     std::function<bool(const std::string& region)> is_region_allowed;
+    // Weight of a region's endpoints; empty if all weigh the same.
+    std::function<double(const std::string& region)> region_weight;
     // Endpoints tried before.
     const std::vector<std::string>* tried = nullptr;
     bool is_repeatable = false;
--- /dev/null
+++ b/packages/quota/tests/quota_test.cpp
@@ -0,0 +1,249 @@
+// Tests of the fleet-wide limits.
+
+#include "quota/fleet_quota.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <deque>
+#include <memory>
+#include <random>
+
+using namespace quetzalspan;
+using namespace quota;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace
+{
+
+const core::instant start(seconds(100));
+
+// The users' bounds: a tenth and 20 requests above the limit in any 5 seconds.
+quota_options make_options()
+{
+    quota_options options;
+    options.tolerated_share = 0.1;
+    options.tolerated_requests = 20;
+    return options;
+}
+
+double bound(double rate, double burst)
+{
+    return (rate * 5 + burst) * 1.1 + 20;
+}
+
+// Instances that exchange demand in virtual time.
+class fleet
+{
+public:
+    explicit fleet(std::size_t size)
+    {
+        for (std::size_t index = 0; index < size; ++index) {
+            m_names.push_back("i" + std::to_string(index));
+            m_quotas.push_back(nullptr);
+        }
+        for (std::size_t index = 0; index < size; ++index) {
+            restart(index, start);
+        }
+    }
+
+    void restart(std::size_t index, core::instant now)
+    {
+        m_quotas[index] = std::make_unique<fleet_quota>(make_options());
+        m_quotas[index]->set_limits({{"hat", m_rate, m_burst}}, now);
+        std::vector<std::string> peers = m_names;
+        peers.erase(peers.begin() + static_cast<std::ptrdiff_t>(index));
+        m_quotas[index]->set_peers(peers, now);
+    }
+
+    // A cut instance neither sends nor receives demand.
+    void exchange(core::instant now, const std::vector<bool>& cut)
+    {
+        for (std::size_t from = 0; from < m_quotas.size(); ++from) {
+            for (std::size_t to = 0; to < m_quotas.size(); ++to) {
+                if (from != to && !cut[from] && !cut[to]) {
+                    m_quotas[to]->record_demand(m_names[from], {now, m_quotas[from]->demands(now)});
+                }
+            }
+        }
+    }
+
+    void rebalance(core::instant now)
+    {
+        for (const std::unique_ptr<fleet_quota>& entry : m_quotas) {
+            entry->rebalance(now);
+        }
+    }
+
+    void set_limit(double rate, double burst, core::instant now)
+    {
+        m_rate = rate;
+        m_burst = burst;
+        for (const std::unique_ptr<fleet_quota>& entry : m_quotas) {
+            entry->set_limits({{"hat", rate, burst}}, now);
+        }
+    }
+
+    bool admit(std::size_t index, core::instant now)
+    {
+        return m_quotas[index]->admit("hat", now).is_admitted;
+    }
+
+private:
+    double m_rate = 60;
+    double m_burst = 60;
+    std::vector<std::string> m_names;
+    std::vector<std::unique_ptr<fleet_quota>> m_quotas;
+};
+
+struct window_sum {
+    std::deque<core::instant> admitted;
+    std::size_t most = 0;
+
+    void add(core::instant now)
+    {
+        admitted.push_back(now);
+        while (now - admitted.front() > seconds(5)) {
+            admitted.pop_front();
+        }
+        most = std::max(most, admitted.size());
+    }
+};
+
+} // namespace
+
+TEST_GROUP(quota){};
+
+// Guards against shares that sum to more than the limit, whatever the demands are and whoever is not heard
+// of.
+TEST(quota, shares_never_sum_to_more_than_the_limit)
+{
+    std::mt19937 random(7);
+    for (int round = 0; round < 300; ++round) {
+        const std::size_t size = 1 + random() % 12;
+        const std::size_t unheard = random() % size;
+        std::vector<double> demands;
+        for (std::size_t index = 0; index < size - unheard; ++index) {
+            demands.push_back(static_cast<double>(random() % 100));
+        }
+        double sum = static_cast<double>(unheard) / static_cast<double>(size);
+        for (std::size_t own = 0; own < demands.size(); ++own) {
+            std::vector<double> heard = demands;
+            heard.erase(heard.begin() + static_cast<std::ptrdiff_t>(own));
+            sum += share_of_limit(demands[own], heard, unheard, 0.3);
+        }
+        CHECK(sum <= 1.0 + 1e-9);
+        CHECK(sum >= 1.0 - 1e-9);
+    }
+}
+
+// Guards against a workspace above its limit while it sends many times its rate, demand wanders between
+// instances, messages are lost, instances restart one by one and all together, and one is cut off.
+TEST(quota, no_window_exceeds_the_bound_under_failures)
+{
+    for (const unsigned seed : {1U, 2U, 3U, 4U, 5U}) {
+        std::mt19937 random(seed);
+        fleet instances(7);
+        window_sum sum;
+        std::vector<bool> cut(7, false);
+        for (int step = 0; step < 60 * 100; ++step) {
+            const core::instant now = start + milliseconds(10 * step);
+            if (step % 50 == 0) {
+                cut.assign(7, false);
+                cut[random() % 7] = random() % 3 == 0;
+                instances.exchange(now, cut);
+            }
+            if (step % 20 == 0) {
+                instances.rebalance(now);
+            }
+            if (step % 500 == 499) {
+                instances.restart(random() % 7, now);
+            }
+            if (step == 3000) {
+                for (std::size_t index = 0; index < 7; ++index) {
+                    instances.restart(index, now);
+                }
+            }
+            // 300 requests a second against a rate of 60, most at two instances that change.
+            for (int request = 0; request < 3; ++request) {
+                const std::size_t favourite = static_cast<std::size_t>(step / 700) % 7;
+                const std::size_t target = random() % 3 == 0 ? random() % 7 : favourite;
+                if (instances.admit(target, now)) {
+                    sum.add(now);
+                }
+            }
+        }
+        CHECK(static_cast<double>(sum.most) <= bound(60, 60));
+    }
+}
+
+// Guards against a limit that is lowered far below the demand and not enforced within one window.
+TEST(quota, a_lowered_limit_binds_after_one_window)
+{
+    fleet instances(7);
+    window_sum sum;
+    const std::vector<bool> connected(7, false);
+    for (int step = 0; step < 3000; ++step) {
+        const core::instant now = start + milliseconds(10 * step);
+        if (step % 50 == 0) {
+            instances.exchange(now, connected);
+            instances.rebalance(now);
+        }
+        if (step == 1000) {
+            instances.set_limit(5, 5, now);
+        }
+        const bool is_admitted = instances.admit(static_cast<std::size_t>(step) % 7, now);
+        if (is_admitted && step >= 1000) {
+            sum.add(now);
+        }
+    }
+    CHECK(static_cast<double>(sum.most) <= bound(5, 5));
+}
+
+// Guards against rejections of a workspace that keeps to its rate while its requests move between instances.
+TEST(quota, shares_follow_the_demand)
+{
+    fleet instances(7);
+    const std::vector<bool> connected(7, false);
+    int offered = 0;
+    int rejected = 0;
+    for (int step = 0; step < 6000; ++step) {
+        const core::instant now = start + milliseconds(10 * step);
+        if (step % 50 == 0) {
+            instances.exchange(now, connected);
+        }
+        if (step % 20 == 0) {
+            instances.rebalance(now);
+        }
+        // 37 a second against a rate of 60, four fifths of them at two of seven instances.
+        if (step % 8 < 3 && step > 500) {
+            ++offered;
+            const std::size_t target =
+                step % 5 == 0 ? static_cast<std::size_t>(step) % 7 : static_cast<std::size_t>(step) % 2;
+            rejected += instances.admit(target, now) ? 0 : 1;
+        }
+    }
+    CHECK(offered > 1500);
+    CHECK(rejected * 100 <= offered);
+}
+
+// Guards against an instance that grants again after a restart what its predecessor granted.
+TEST(quota, a_bucket_starts_empty)
+{
+    token_bucket bucket(start);
+    bucket.set(10, 100, start);
+    CHECK_FALSE(bucket.try_take(start));
+    CHECK(bucket.time_to_token(start) == milliseconds(100));
+    CHECK_TRUE(bucket.try_take(start + milliseconds(101)));
+    bucket.set(0, 0, start + seconds(2));
+    CHECK(bucket.time_to_token(start + seconds(2)) == core::duration::max());
+}
+
+// Guards against a workspace without a limit that is rejected.
+TEST(quota, a_workspace_without_a_limit_is_always_admitted)
+{
+    fleet_quota limits(make_options());
+    limits.set_limits({{"open", 0, 0}}, start);
+    CHECK_TRUE(limits.admit("open", start).is_admitted);
+    CHECK_TRUE(limits.admit("unknown", start).is_admitted);
+}
