--- a/packages/caller/endpoint_lease.h
+++ b/packages/caller/endpoint_lease.h
@@ -53,11 +53,6 @@
     const std::string& identity() const { return m_identity; }
     const boost::asio::ip::tcp::endpoint& address() const { return m_address; }
 
-    // How long to wait for the response's header before a repeatable request is sent to another endpoint;
-    // zero for no limit but the deadline.
-    core::duration patience() const { return m_patience; }
-    void set_patience(core::duration patience) { m_patience = patience; }
-
 private:
     endpoint_lease(std::string identity, boost::asio::ip::tcp::endpoint address, release_function release);
 
@@ -65,7 +60,6 @@
     boost::asio::ip::tcp::endpoint m_address;
     // Empty once called.
     release_function m_release;
-    core::duration m_patience{0};
 };
 
 } // namespace quetzalspan::caller
--- a/packages/caller/request_exchange.cpp
+++ b/packages/caller/request_exchange.cpp
@@ -366,10 +366,7 @@
             co_return cause;
         }
     }
-    const bool is_patience_bounded = lease.patience() > core::duration(0) && m_summary.is_idempotent;
-    exchange.set_deadline(is_patience_bounded
-                              ? std::min(m_summary.deadline, current_time() + lease.patience())
-                              : m_summary.deadline);
+    exchange.set_deadline(m_summary.deadline);
     const std::optional<upstream::forward_failure> unwritten = co_await write_request(exchange, lease);
     m_sends += exchange.has_written() ? 1 : 0;
     if (unwritten && !exchange.has_written()) {
@@ -384,7 +381,6 @@
     if (unread) {
         co_return failure_of(*unread);
     }
-    exchange.set_deadline(m_summary.deadline);
     const std::optional<rejection> failed = co_await receive(exchange, result);
     co_return failed;
 }
--- a/packages/edge/upstreams.cpp
+++ b/packages/edge/upstreams.cpp
@@ -100,16 +100,6 @@
     return make_lease(chosen.target, request, now);
 }
 
-core::duration upstreams::patience_for(const std::string& service) const
-{
-    const std::map<std::string, core::duration>::const_iterator median = m_median_latency.find(service);
-    if (median == m_median_latency.end()) {
-        return m_options.least_patience;
-    }
-    const double usual = static_cast<double>(median->second.count()) * m_options.patience_factor;
-    return std::max(m_options.least_patience, core::duration(static_cast<std::int64_t>(usual)));
-}
-
 caller::endpoint_lease upstreams::make_lease(const endpoint_pointer& target, const attempt_request& request,
                                              core::instant now)
 {
@@ -118,10 +108,6 @@
         [this, target, id = std::string(request.request_id)](const caller::attempt_result& result) {
             release(target, id, result);
         });
-    // The last attempt may wait until the deadline; there is nowhere else to turn.
-    if (request.route->is_repeatable && request.tried->empty() && request.route->attempt_limit > 1) {
-        lease.set_patience(patience_for(target->record.service));
-    }
     core::debug_event("endpoint_chosen")
         .with("request_id", request.request_id)
         .with("endpoint", target->record.id)
@@ -251,7 +237,6 @@
     const std::vector<core::duration>::iterator middle =
         latencies.begin() + static_cast<std::ptrdiff_t>(latencies.size() / 2);
     std::nth_element(latencies.begin(), middle, latencies.end());
-    m_median_latency[endpoints.front()->record.service] = *middle;
     for (const endpoint_pointer& entry : endpoints) {
         // Only fresh results count: without requests the average stands still.
         if (entry->outstanding > 0 && placement::judge_latency(*entry, *middle, m_options.health, now)) {
--- a/packages/edge/upstreams.h
+++ b/packages/edge/upstreams.h
@@ -32,10 +32,6 @@
     double cold_use = 0.85;
     // When all endpoints are full, callers are told to come back after this time.
     core::duration busy_retry = std::chrono::milliseconds(60);
-    // A repeatable request is sent to another endpoint if there is no response after this many times the
-    // usual latency of the service, but not before the least time.
-    double patience_factor = 4;
-    core::duration least_patience = std::chrono::milliseconds(600);
 };
 
 // What an attempt needs to know of its request.
@@ -82,7 +78,6 @@
                                       const attempt_request& request, core::instant now);
     void release(const placement::endpoint_pointer& target, const std::string& request_id,
                  const caller::attempt_result& result);
-    core::duration patience_for(const std::string& service) const;
     void judge_service(const std::vector<placement::endpoint_pointer>& endpoints, core::instant now);
     void update_region_weights(const std::string& service,
                                const std::vector<placement::endpoint_pointer>& endpoints, core::instant now);
@@ -99,7 +94,6 @@
     std::shared_ptr<const routing::route_table> m_table;
     placement::endpoint_catalog m_catalog;
     placement::fleet_position m_position;
-    std::map<std::string, core::duration> m_median_latency;
     // By service.
     std::map<std::string, placement::region_weights> m_region_weights;
     std::vector<placement::homed_demand> m_homed;
