--- a/packages/core/log_event.cpp
+++ b/packages/core/log_event.cpp
@@ -2,15 +2,19 @@
 
 #include "core/log_event.h"
 
+#include "core/line_writer.h"
 #include "core/name_table.h"
 
-#include <log4cplus/consoleappender.h>
+#include <log4cplus/appender.h>
 #include <log4cplus/layout.h>
 #include <log4cplus/logger.h>
 
 #include <memory>
+#include <sstream>
 #include <stdexcept>
 
+#include <unistd.h>
+
 namespace quetzalspan::core
 {
 
@@ -59,6 +63,30 @@
     line += '"';
 }
 
+// Hands formatted lines to a writer that never blocks its callers.
+class line_appender : public log4cplus::Appender
+{
+public:
+    explicit line_appender(int descriptor) : m_writer(descriptor) {}
+    ~line_appender() override { destructorImpl(); }
+
+    line_appender(const line_appender&) = delete;
+    line_appender& operator=(const line_appender&) = delete;
+
+    void close() override {}
+
+protected:
+    void append(const log4cplus::spi::InternalLoggingEvent& event) override
+    {
+        std::ostringstream line;
+        layout->formatAndAppend(line, event);
+        m_writer.write(line.str());
+    }
+
+private:
+    line_writer m_writer;
+};
+
 log4cplus::Logger& product_logger()
 {
     static log4cplus::Logger logger = log4cplus::Logger::getInstance("quetzalspan");
@@ -104,7 +132,7 @@
     if (!level) {
         throw std::invalid_argument("unknown log level; use debug, info, warn or error");
     }
-    log4cplus::SharedAppenderPtr appender(new log4cplus::ConsoleAppender(true, true));
+    log4cplus::SharedAppenderPtr appender(new line_appender(STDOUT_FILENO));
     appender->setLayout(std::make_unique<log4cplus::PatternLayout>(
         LOG4CPLUS_TEXT("time=%D{%Y-%m-%dT%H:%M:%S.%q}Z level=%p %m%n")));
     log4cplus::Logger& logger = product_logger();
--- a/packages/core/log_event.h
+++ b/packages/core/log_event.h
@@ -71,8 +71,9 @@
     explicit debug_event(std::string_view event) : log_event(log4cplus::DEBUG_LOG_LEVEL, event) {}
 };
 
-// Sends log lines of this level and above to standard error. Level names: "debug", "info", "warn", "error".
-// Throws std::invalid_argument for another name. A log4cplus::Initializer must be alive.
+// Sends log lines of this level and above to standard output, without ever blocking the caller on its reader.
+// Level names: "debug", "info", "warn", "error". Throws std::invalid_argument for another name. A
+// log4cplus::Initializer must be alive.
 void configure_logging(std::string_view level_name);
 
 } // namespace quetzalspan::core
--- /dev/null
+++ b/packages/core/tests/line_writer_test.cpp
@@ -0,0 +1,76 @@
+// Tests of the writer of log lines.
+
+#include "core/line_writer.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <array>
+#include <string>
+
+#include <unistd.h>
+
+using namespace quetzalspan;
+
+TEST_GROUP(line_writer)
+{
+    std::array<int, 2> pipe_ends{};
+
+    void setup() override
+    {
+        CHECK_EQUAL(0, ::pipe(pipe_ends.data()));
+    }
+
+    void teardown() override
+    {
+        ::close(pipe_ends[0]);
+        ::close(pipe_ends[1]);
+    }
+
+    std::string read_until(const std::string& end)
+    {
+        std::string text;
+        std::array<char, 4096> part{};
+        while (text.size() < end.size() || text.compare(text.size() - end.size(), end.size(), end) != 0) {
+            const ssize_t size = ::read(pipe_ends[0], part.data(), part.size());
+            if (size <= 0) {
+                break;
+            }
+            text.append(part.data(), static_cast<std::size_t>(size));
+        }
+        return text;
+    }
+};
+
+// Guards against lines that are lost or out of order while the reader keeps up.
+TEST(line_writer, lines_arrive_in_order)
+{
+    core::line_writer writer(pipe_ends[1]);
+    std::string expected;
+    for (int index = 0; index < 500; ++index) {
+        const std::string line = "event=test number=" + std::to_string(index) + "\n";
+        expected += line;
+        writer.write(line);
+    }
+    CHECK_EQUAL(expected, read_until("number=499\n"));
+    CHECK_EQUAL(0U, writer.dropped());
+}
+
+// Guards against a process that stands still because nobody reads its output, and against drops that nobody
+// is told of.
+TEST(line_writer, a_reader_that_stops_blocks_nothing_and_is_told_what_it_missed)
+{
+    constexpr std::size_t limit_bytes = 32 * 1024;
+    core::line_writer writer(pipe_ends[1], limit_bytes);
+    const std::string line(999, 'x');
+    // Far more than the pipe and the writer hold together; a blocking writer would never return.
+    for (int index = 0; index < 2000; ++index) {
+        writer.write(line + "\n");
+    }
+    CHECK(writer.dropped() > 0);
+    std::string text;
+    while (text.find("log_lines_dropped") == std::string::npos) {
+        text += read_until("\n");
+        writer.write("event=after\n");
+    }
+    CHECK(text.find("event=log_lines_dropped count=") != std::string::npos);
+}
--- /dev/null
+++ b/packages/edge/tests/edge_test.cpp
@@ -0,0 +1,320 @@
+// Tests of what an edge instance knows about its fleet and how it decides about requests.
+
+#include "edge/demand_message.h"
+#include "edge/request_rules.h"
+#include "edge/roster.h"
+
+#include "core/digest.h"
+#include "core/findings.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/use_future.hpp>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace quetzalspan;
+using namespace edge;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace
+{
+
+const core::instant start(seconds(100));
+
+instance_record make_instance(const std::string& name, const std::string& region)
+{
+    instance_record result;
+    result.instance = name;
+    result.region = region;
+    result.availability_zone = region + "-a";
+    result.callers = {"127.0.0.1", 8000};
+    result.peers = {"127.0.0.1", 8001};
+    return result;
+}
+
+std::string names_of(const std::vector<instance_record>& records)
+{
+    std::string result;
+    for (const instance_record& record : records) {
+        result += record.instance + " ";
+    }
+    return result;
+}
+
+} // namespace
+
+TEST_GROUP(instance_records){};
+
+// Guards against a record that another version or writer left and that is taken for an instance.
+TEST(instance_records, records_survive_the_store_and_others_are_rejected)
+{
+    instance_record record = make_instance("a", "savo");
+    record.phase = instance_phase::leaving;
+    CHECK(parse_instance_record(to_text(record), "test") == record);
+    for (const char* text : {"", "{}", "[]", "{\"version\":1,\"instance\":7}", "no json"}) {
+        CHECK_THROWS(core::findings_error, parse_instance_record(text, "test"));
+    }
+}
+
+// Guards against a damaged datagram that changes the shares.
+TEST(instance_records, demand_messages_survive_and_others_are_rejected)
+{
+    const demand_message message{"a", 7, {{"harbour", 12.3}, {"mill", 0.1}}};
+    const demand_message parsed = parse_demand_message(to_text(message), "test");
+    CHECK_EQUAL(std::string("a"), parsed.instance);
+    CHECK_EQUAL(7U, parsed.sequence);
+    DOUBLES_EQUAL(12.3, parsed.rates.at("harbour"), 1e-9);
+    for (const char* text : {"", "{}", "{\"method\":\"other\",\"params\":{}}",
+                             "{\"method\":\"demand\",\"params\":{\"instance\":\"a\",\"sequence\":1,\"rates\":"
+                             "{\"x\":-5}}}"}) {
+        CHECK_THROWS(core::findings_error, parse_demand_message(text, "test"));
+    }
+}
+
+TEST_GROUP(roster)
+{
+    roster instances{{"own", seconds(3), seconds(2)}};
+    const instance_record own = make_instance("own", "savo");
+
+    std::string look_up(const std::string& region, core::instant now = start)
+    {
+        return names_of(instances.look_up(region, own, now));
+    }
+};
+
+// Guards against clients that are sent out of their region, against a region without service, and against
+// naming instances that leave, fell silent or are gone.
+TEST(roster, a_lookup_names_the_usable_instances_of_the_region)
+{
+    instances.put(make_instance("b", "savo"), start);
+    instances.put(make_instance("c", "uusimaa"), start);
+    CHECK_EQUAL(std::string("own b "), look_up("savo"));
+    CHECK_EQUAL(std::string("c "), look_up("uusimaa"));
+    CHECK_EQUAL(std::string("own b c "), look_up("pohjanmaa"));
+    instances.record_heard("b", start);
+    CHECK_EQUAL(std::string("own "), look_up("savo", start + seconds(4)));
+    instance_record leaving = make_instance("c", "uusimaa");
+    leaving.phase = instance_phase::leaving;
+    instances.put(leaving, start);
+    CHECK_EQUAL(std::string("own b "), look_up("uusimaa"));
+    instances.remove("b", start);
+    CHECK_EQUAL(std::string("own "), look_up("savo"));
+    CHECK_EQUAL(2U, instances.size());
+}
+
+// Guards against shares that grow because the records of living instances lapsed with the store.
+TEST(roster, instances_whose_records_lapsed_count_until_the_grace_time_is_over)
+{
+    instances.put(make_instance("b", "savo"), start);
+    instances.put(make_instance("c", "savo"), start);
+    instances.begin_absence_grace(start);
+    instances.remove("b", start);
+    instances.remove("c", start);
+    CHECK_EQUAL(3U, instances.position().size);
+    CHECK_FALSE(instances.expire(start + seconds(1)));
+    instances.put(make_instance("b", "savo"), start + seconds(1));
+    CHECK_TRUE(instances.expire(start + seconds(2)));
+    CHECK_EQUAL(2U, instances.position().size);
+}
+
+TEST_GROUP(rules)
+{
+    burn::metrics_registry metrics;
+    traffic_state state;
+    quota::fleet_quota limits{{}};
+    upstreams endpoints{{}, [] { return placement::fleet_position{1, {1}, 1}; }, metrics};
+    request_rule_options options;
+    std::unique_ptr<request_rules> rules;
+    caller::proxy_hooks hooks;
+    const std::string digest = core::sha256_hex("secret");
+
+    void setup() override
+    {
+        options.key_lifetime = seconds(4);
+        options.denial_lifetime = seconds(2);
+        options.retry_share = 0.2;
+        options.retry_slack = 10;
+        rules = std::make_unique<request_rules>(
+            options, state, endpoints, limits, [] { return 2U; }, metrics);
+        hooks = rules->hooks();
+    }
+
+    static routing::configuration make_configuration(std::uint64_t version)
+    {
+        routing::route keyed;
+        keyed.name = "keyed";
+        keyed.host = "desk.example";
+        keyed.prefix = "/keyed/";
+        keyed.services = {{"orders", 1}};
+        keyed.attempt_limit = 2;
+        keyed.time_limit = milliseconds(800);
+        routing::route open = keyed;
+        open.name = "open";
+        open.prefix = "/open/";
+        open.is_public = true;
+        open.is_repeatable = true;
+        routing::workspace harbour;
+        harbour.name = "harbour";
+        harbour.key_digests = {core::sha256_hex("secret")};
+        routing::configuration result;
+        result.version = version;
+        result.routes = {keyed, open};
+        result.workspaces = {harbour};
+        return result;
+    }
+
+    void configure(const routing::configuration& source, core::duration age)
+    {
+        state.publish(routing::route_table::create(source));
+        state.confirm(core::boot_clock::now() - age);
+        endpoints.set_table(state.table());
+    }
+
+    caller::request_summary request(std::string_view target) const
+    {
+        caller::request_summary result;
+        result.host = "desk.example";
+        result.target = target;
+        result.request_id = "id";
+        result.key_digest = digest;
+        return result;
+    }
+
+    // Returns the failure of a rejection; no value if the request is admitted.
+    std::optional<dispatch::failure> begin(const caller::request_summary& wanted) const
+    {
+        const caller::begin_result result = hooks.begin(wanted, start);
+        const caller::rejection* rejected = std::get_if<caller::rejection>(&result);
+        return rejected == nullptr ? std::nullopt : std::optional<dispatch::failure>(rejected->at);
+    }
+
+    caller::admission admit(std::string_view target) const
+    {
+        return std::get<caller::admission>(hooks.begin(request(target), start));
+    }
+};
+
+// Guards against a denial for good by an instance that knows no configuration.
+TEST(rules, without_a_configuration_callers_are_told_to_come_back)
+{
+    CHECK(begin(request("/keyed/a")) == dispatch::failure::no_configuration);
+}
+
+// Guards against a denial for good that an older configuration decides, and against keys that an instance
+// without the store goes on accepting.
+TEST(rules, the_age_of_the_configuration_decides_what_may_be_denied_and_served)
+{
+    struct row {
+        core::duration age;
+        std::optional<dispatch::failure> unknown_route;
+        std::optional<dispatch::failure> unknown_key;
+        std::optional<dispatch::failure> known_key;
+    };
+    using dispatch::failure;
+    const std::vector<row> rows{
+        {seconds(0), failure::no_route, failure::key_unknown, std::nullopt},
+        {seconds(3), failure::no_authority, failure::no_authority, std::nullopt},
+        {seconds(5), failure::no_authority, failure::no_authority, failure::no_authority},
+    };
+    state.publish(routing::route_table::create(make_configuration(1)));
+    for (std::vector<row>::const_reverse_iterator entry = rows.rbegin(); entry != rows.rend(); ++entry) {
+        state.confirm(core::boot_clock::now() - entry->age);
+        caller::request_summary unknown = request("/keyed/a");
+        unknown.key_digest = "none";
+        CHECK(begin(request("/nowhere/")) == entry->unknown_route);
+        CHECK(begin(unknown) == entry->unknown_key);
+        CHECK(begin(request("/keyed/a")) == entry->known_key);
+        CHECK(begin(request("/open/a")) == std::nullopt);
+    }
+}
+
+// Guards against a key that is withdrawn while its request waits, and against one that moved to another
+// workspace.
+TEST(rules, a_key_is_checked_again_before_the_request_is_sent)
+{
+    configure(make_configuration(1), seconds(0));
+    const caller::admission admitted = admit("/keyed/a");
+    CHECK_FALSE(hooks.recheck(request("/keyed/a"), admitted, start).has_value());
+    routing::configuration without = make_configuration(2);
+    without.workspaces.front().key_digests.clear();
+    configure(without, seconds(0));
+    CHECK(hooks.recheck(request("/keyed/a"), admitted, start)->at == dispatch::failure::key_revoked);
+    routing::configuration moved = make_configuration(3);
+    moved.workspaces.front().name = "mill";
+    configure(moved, seconds(0));
+    CHECK(hooks.recheck(request("/keyed/a"), admitted, start)->at == dispatch::failure::key_revoked);
+}
+
+// Guards against a configuration that reverts.
+TEST(rules, an_older_configuration_is_never_published)
+{
+    configure(make_configuration(7), seconds(0));
+    CHECK_FALSE(state.publish(routing::route_table::create(make_configuration(6))));
+    CHECK_EQUAL(7U, state.table()->version());
+}
+
+// Guards against a request that reaches more endpoints than its route allows or that may run twice, and
+// against retries beyond the fleet-wide budget.
+TEST(rules, retries_keep_to_the_route_and_to_the_budget)
+{
+    configure(make_configuration(1), seconds(0));
+    const caller::admission once = admit("/keyed/a");
+    const caller::admission repeatable = admit("/open/a");
+    using dispatch::failure;
+    const auto retry = [&](const caller::admission& admitted, std::uint32_t sends, bool is_repeatable,
+                           failure at) {
+        const dispatch::attempt_state attempt{sends, is_repeatable, true, start + seconds(1), sends};
+        return hooks.retry(request("/"), admitted, attempt, at, start);
+    };
+    CHECK_FALSE(retry(once, 1, false, failure::response_lost));
+    CHECK_TRUE(retry(once, 1, false, failure::upstream_shed));
+    CHECK_FALSE(retry(once, 2, false, failure::upstream_shed));
+    CHECK_TRUE(retry(repeatable, 1, true, failure::response_lost));
+    // 80% of a slack of 10, shared by two instances: four in all, two of them used above.
+    int granted = 0;
+    for (int count = 0; count < 20; ++count) {
+        granted += retry(repeatable, 1, true, failure::response_lost) ? 1 : 0;
+    }
+    CHECK_EQUAL(2, granted);
+    // Nothing was sent, so this is no repetition.
+    CHECK_TRUE(retry(repeatable, 0, true, failure::connect_failed));
+}
+
+// Guards against new work on an instance that is about to end.
+TEST(rules, a_stopping_instance_refuses_new_requests)
+{
+    configure(make_configuration(1), seconds(0));
+    state.is_refusing = true;
+    CHECK(begin(request("/open/a")) == dispatch::failure::stopping);
+}
+
+// Guards against a send to a draining endpoint, and against a rejection that leaves the caller without a
+// time.
+TEST(rules, a_draining_endpoint_receives_nothing)
+{
+    configure(make_configuration(1), seconds(0));
+    placement::endpoint_record record;
+    record.id = "a";
+    record.service = "orders";
+    record.host = "127.0.0.1";
+    record.port = 9;
+    record.region = "savo";
+    endpoints.apply(record, true, start);
+    const caller::admission admitted = admit("/open/a");
+    const std::vector<std::string> tried;
+    attempt_request wanted;
+    wanted.request_id = "id";
+    wanted.service = &admitted.service;
+    const routing::route& route = state.table()->source().routes[1];
+    wanted.route = &route;
+    wanted.tried = &tried;
+    CHECK_TRUE(std::holds_alternative<caller::endpoint_lease>(endpoints.acquire(wanted, start)));
+    record.phase = placement::endpoint_phase::draining;
+    record.sequence = 1;
+    endpoints.apply(record, false, start);
+    const caller::acquire_result refused = endpoints.acquire(wanted, start);
+    CHECK_TRUE(std::holds_alternative<caller::rejection>(refused));
+    CHECK(std::get<caller::rejection>(refused).retry_after > core::duration(0));
+}
