--- a/packages/edge/instance.cpp
+++ b/packages/edge/instance.cpp
@@ -222,7 +222,7 @@
 void instance::handle_signal(int signal)
 {
     if (signal == SIGHUP) {
-        core::info_event("reload_requested");
+        core::info_event("reload_requested").with("signal", signal);
         if (m_on_reload) {
             m_on_reload();
         }
--- a/packages/http/client.cpp
+++ b/packages/http/client.cpp
@@ -58,10 +58,7 @@
 
 client::client(asio::any_io_executor executor, const std::string& host, std::uint16_t port,
                client_options options)
-    : m_executor(executor),
-      m_host(host),
-      m_address(asio::ip::make_address(host), port),
-      m_options(options)
+    : m_executor(executor), m_host(host), m_address(asio::ip::make_address(host), port), m_options(options)
 {
 }
 
--- a/packages/http/client.h
+++ b/packages/http/client.h
@@ -48,8 +48,8 @@
 
 struct client_options {
     std::uint64_t body_limit_bytes = 2 * 1024 * 1024;
-    // Time to open a connection, within the time allowed for the message. A packet that is lost while the peer is
-    // cut off is sent again only after a second, so a short limit notices the end of the cut sooner.
+    // Time to open a connection, within the time allowed for the message. A packet that is lost while the
+    // peer is cut off is sent again only after a second, so a short limit notices the end of the cut sooner.
     core::duration connect_timeout = std::chrono::seconds(1);
 };
 
--- a/packages/http/tests/http_test.cpp
+++ b/packages/http/tests/http_test.cpp
@@ -100,8 +100,8 @@
     CHECK_THROWS(std::invalid_argument, http::target::create("no path"));
 }
 
-// Guards against a connection attempt that uses up the whole time of the message: while the peer is cut off, only a
-// new attempt notices the end of the cut.
+// Guards against a connection attempt that uses up the whole time of the message: while the peer is cut off,
+// only a new attempt notices the end of the cut.
 TEST(http, a_connection_that_does_not_open_fails_within_its_own_limit)
 {
     // The queue of a listener that accepts nothing fills up, and further attempts get no answer.
--- a/packages/operator/store_connection.cpp
+++ b/packages/operator/store_connection.cpp
@@ -55,8 +55,8 @@
         throw std::invalid_argument("the store has no address; give --store=host:port");
     }
     for (const config::host_port& address : addresses) {
-        m_clients.push_back(std::make_unique<http::client>(m_context.get_executor(), address.host,
-                                                           address.port, http::client_options{body_limit_bytes}));
+        m_clients.push_back(std::make_unique<http::client>(
+            m_context.get_executor(), address.host, address.port, http::client_options{body_limit_bytes}));
     }
 }
 
--- a/packages/store/store_client.cpp
+++ b/packages/store/store_client.cpp
@@ -111,7 +111,8 @@
     }
     for (const store_address& address : m_options.addresses) {
         m_addresses.push_back(
-            {std::make_unique<http::client>(executor, address.host, address.port, http::client_options{body_limit_bytes, m_options.call_timeout}),
+            {std::make_unique<http::client>(executor, address.host, address.port,
+                                            http::client_options{body_limit_bytes, m_options.call_timeout}),
              circuit_breaker(m_options.breaker, [this] { return m_hooks.random(); })});
     }
 }
