--- a/packages/edge/request_rules.cpp
+++ b/packages/edge/request_rules.cpp
@@ -24,6 +24,7 @@
 
 // What the admission of a request refers to. The table keeps the pointers valid.
 struct request_context {
+    std::string request_id;
     route_table_pointer table;
     const routing::route* route = nullptr;
     const routing::workspace* workspace = nullptr;
@@ -138,6 +139,7 @@
         result.workspace = workspace->name;
     }
     const std::shared_ptr<request_context> context = std::make_shared<request_context>();
+    context->request_id = request.request_id;
     context->route = route;
     context->workspace = workspace;
     context->traits = table->find_service(result.service);
@@ -176,7 +178,9 @@
         return std::nullopt;
     }
     core::info_event("rate_limited")
+        .with("request_id", context_of(admitted).request_id)
         .with("workspace", admitted.workspace)
+        .with("configuration", admitted.revision)
         .with("share_permille", static_cast<int>(decision.share * 1000))
         .with("demand_per_s", static_cast<int>(decision.demand))
         .with("retry_after_ms", core::to_milliseconds(decision.retry_after));
