Edge, Store: Follow all entries of the store with one watch

Cause: each instance held three watches.

Ruled out: longer waits of three separate watches; changes of endpoints end their wait anyway, and a longer wait ages the confirmation of keys.

Change: one mirror over a common prefix, whose entries are told apart by key; wait 0.65 s, pause 0.6 s. The watch after a failed call asks for an answer at once, so keys are served again as soon as the store answers.

--- a/packages/edge/control_feeds.cpp
+++ b/packages/edge/control_feeds.cpp
@@ -34,93 +34,72 @@
       m_site(site),
       m_options(options),
       m_targets(std::move(targets)),
-      m_endpoint_outage(options.endpoint_watch + options.endpoint_pause + outage_margin),
-      m_instance_outage(options.instance_watch + outage_margin),
-      m_configurations(make_configurations(executor)),
-      m_endpoints(make_endpoints(executor)),
-      m_instances(make_instances(executor))
+      m_outage(options.store_watch + options.store_pause + outage_margin),
+      m_mirror(make_mirror(executor))
 {
 }
 
 void control_feeds::start()
 {
-    m_configurations->start();
-    m_endpoints->start();
-    m_instances->start();
+    m_mirror->start();
 }
 
 void control_feeds::stop()
 {
-    m_configurations->stop();
-    m_endpoints->stop();
-    m_instances->stop();
+    m_mirror->stop();
 }
 
-std::shared_ptr<store::prefix_mirror>
-control_feeds::make_configurations(const boost::asio::any_io_executor& executor)
+std::shared_ptr<store::prefix_mirror> control_feeds::make_mirror(const boost::asio::any_io_executor& executor)
 {
     store::mirror_options options;
-    options.prefix = m_site.operator_prefix;
-    options.watch_timeout = m_options.configuration_watch;
-    options.watch_pause = core::duration(0);
+    options.prefix = m_site.watch_prefix;
+    options.watch_timeout = m_options.store_watch;
+    options.watch_pause = m_options.store_pause;
     options.retry_pause = m_options.store_retry;
     options.list_interval = core::duration(0);
     store::prefix_mirror::hooks hooks;
     hooks.on_entry = [this](const std::string& key, const store::store_entry* entry) {
-        on_operator_entry(key, entry);
+        on_entry(key, entry);
     };
-    hooks.on_update = [this] { on_operator_update(); };
-    hooks.on_confirmed = [this](core::boot_instant sent) { m_targets.state.confirm(sent); };
+    hooks.on_answer = [this] { on_answer(); };
+    hooks.on_update = [this] { on_update(); };
+    hooks.on_confirmed = [this](core::boot_instant sent) { on_confirmed(sent); };
     return store::prefix_mirror::create(executor, m_store, options, hooks);
 }
 
-std::shared_ptr<store::prefix_mirror>
-control_feeds::make_endpoints(const boost::asio::any_io_executor& executor)
+void control_feeds::on_entry(const std::string& key, const store::store_entry* entry)
 {
-    store::mirror_options options;
-    options.prefix = m_site.endpoint_prefix;
-    options.watch_timeout = m_options.endpoint_watch;
-    options.watch_pause = m_options.endpoint_pause;
-    options.retry_pause = m_options.store_retry;
-    options.list_interval = core::duration(0);
-    store::prefix_mirror::hooks hooks;
-    hooks.on_entry = [this](const std::string& key, const store::store_entry* entry) {
+    if (key.starts_with(m_site.operator_prefix)) {
+        on_operator_entry(key, entry);
+    } else if (key.starts_with(m_site.endpoint_prefix)) {
         on_endpoint_entry(key, entry);
-    };
-    hooks.on_update = [] {};
-    hooks.on_answer = [this] {
-        if (m_endpoint_outage.ends_outage(current_time())) {
-            m_targets.endpoints.begin_absence_grace(current_time());
-        }
-    };
-    return store::prefix_mirror::create(executor, m_store, options, hooks);
+    } else if (key.starts_with(instance_prefix)) {
+        on_instance_entry(key, entry);
+    }
 }
 
-std::shared_ptr<store::prefix_mirror>
-control_feeds::make_instances(const boost::asio::any_io_executor& executor)
+void control_feeds::on_answer()
 {
-    store::mirror_options options;
-    options.prefix = std::string(instance_prefix);
-    options.watch_timeout = m_options.instance_watch;
-    options.watch_pause = core::duration(0);
-    options.retry_pause = m_options.store_retry;
-    options.list_interval = core::duration(0);
-    store::prefix_mirror::hooks hooks;
-    hooks.on_entry = [this](const std::string& key, const store::store_entry* entry) {
-        on_instance_entry(key, entry);
-    };
-    hooks.on_update = [this] { update_peers(); };
-    hooks.on_answer = [this] {
-        if (m_instance_outage.ends_outage(current_time())) {
-            m_targets.instances.begin_absence_grace(current_time());
-        }
-    };
-    hooks.on_confirmed = [this](core::boot_instant) {
-        if (m_targets.instances.expire(current_time())) {
-            update_peers();
-        }
-    };
-    return store::prefix_mirror::create(executor, m_store, options, hooks);
+    const core::instant now = current_time();
+    if (m_outage.ends_outage(now)) {
+        m_targets.endpoints.begin_absence_grace(now);
+        m_targets.instances.begin_absence_grace(now);
+        core::info_event("absence_grace_begun").with("cause", "store-was-away");
+    }
+}
+
+void control_feeds::on_update()
+{
+    update_evacuations();
+    update_peers();
+}
+
+void control_feeds::on_confirmed(core::boot_instant sent)
+{
+    m_targets.state.confirm(sent);
+    if (m_targets.instances.expire(current_time())) {
+        update_peers();
+    }
 }
 
 void control_feeds::log_findings(const std::string& key, std::uint64_t revision, const core::findings& found)
@@ -166,11 +145,12 @@
     }
 }
 
-void control_feeds::on_operator_update()
+void control_feeds::update_evacuations()
 {
     std::set<std::string> zones;
-    for (const auto& [key, entry] : m_configurations->entries()) {
-        const std::optional<std::string> zone = m_site.read_evacuation(key);
+    for (const auto& [key, entry] : m_mirror->entries()) {
+        const std::optional<std::string> zone =
+            key.starts_with(m_site.operator_prefix) ? m_site.read_evacuation(key) : std::nullopt;
         if (zone) {
             zones.insert(*zone);
         }
@@ -191,7 +171,7 @@
         m_targets.endpoints.remove(m_site.endpoint_id(key), current_time());
         return;
     }
-    m_targets.endpoints.apply(*record, !m_endpoints->is_listed(), current_time());
+    m_targets.endpoints.apply(*record, !m_mirror->is_listed(), current_time());
 }
 
 void control_feeds::on_instance_entry(const std::string& key, const store::store_entry* entry)
--- a/packages/edge/control_feeds.h
+++ b/packages/edge/control_feeds.h
@@ -1,5 +1,6 @@
 // Turns what the store holds into what the request path reads: configurations, evacuations, endpoints and
-// instances.
+// instances. One watch covers them all, since each waiting watch is a call to the store: an instance then
+// costs the store about one call per second, however many kinds of entries it follows.
 
 #pragma once
 
@@ -42,11 +43,11 @@
     void start();
     void stop();
 
-    // Whether endpoints were listed at least once.
-    bool has_endpoints() const { return m_endpoints->is_listed(); }
+    // Whether the store was listed at least once.
+    bool is_listed() const { return m_mirror->is_listed(); }
 
 private:
-    // Notices when confirmations of one mirror stopped for a while, which means that leases may have lapsed.
+    // Notices when answers of the store stopped for a while, which means that leases may have lapsed.
     class outage_detector
     {
     public:
@@ -59,11 +60,13 @@
         std::optional<core::instant> m_last;
     };
 
-    std::shared_ptr<store::prefix_mirror> make_configurations(const boost::asio::any_io_executor& executor);
-    std::shared_ptr<store::prefix_mirror> make_endpoints(const boost::asio::any_io_executor& executor);
-    std::shared_ptr<store::prefix_mirror> make_instances(const boost::asio::any_io_executor& executor);
+    std::shared_ptr<store::prefix_mirror> make_mirror(const boost::asio::any_io_executor& executor);
+    void on_entry(const std::string& key, const store::store_entry* entry);
+    void on_answer();
+    void on_update();
+    void on_confirmed(core::boot_instant sent);
     void on_operator_entry(const std::string& key, const store::store_entry* entry);
-    void on_operator_update();
+    void update_evacuations();
     void on_endpoint_entry(const std::string& key, const store::store_entry* entry);
     void on_instance_entry(const std::string& key, const store::store_entry* entry);
     void update_peers();
@@ -73,11 +76,8 @@
     const deployment& m_site;
     const instance_options& m_options;
     feed_targets m_targets;
-    outage_detector m_endpoint_outage;
-    outage_detector m_instance_outage;
-    std::shared_ptr<store::prefix_mirror> m_configurations;
-    std::shared_ptr<store::prefix_mirror> m_endpoints;
-    std::shared_ptr<store::prefix_mirror> m_instances;
+    outage_detector m_outage;
+    std::shared_ptr<store::prefix_mirror> m_mirror;
 };
 
 } // namespace quetzalspan::edge
--- a/packages/edge/deployment.h
+++ b/packages/edge/deployment.h
@@ -23,6 +23,9 @@
 struct deployment {
     std::function<std::shared_ptr<store::key_value_store>(const boost::asio::any_io_executor&)> create_store;
 
+    // Begins the keys of operators, endpoints and instances alike, so that one watch covers all.
+    std::string watch_prefix;
+
     // Entries of operators.
     std::string operator_prefix;
     std::function<bool(const std::string& key)> is_configuration;
--- a/packages/edge/instance.cpp
+++ b/packages/edge/instance.cpp
@@ -201,7 +201,7 @@
 
 bool instance::is_ready() const
 {
-    return !m_state.is_leaving && m_state.table() != nullptr && m_feeds->has_endpoints();
+    return !m_state.is_leaving && m_state.table() != nullptr && m_feeds->is_listed();
 }
 
 std::vector<instance_record> instance::look_up(const std::string& client_region) const
--- a/packages/edge/instance_options.h
+++ b/packages/edge/instance_options.h
@@ -39,13 +39,11 @@
     // The lease of the instance's record, and the pause between renewals.
     core::duration lease_time = std::chrono::milliseconds(4500);
     core::duration lease_renewal = std::chrono::milliseconds(1200);
-    // Longest wait of a watch for configurations; bounds how old the confirmed configuration gets in calm
-    // times.
-    core::duration configuration_watch = std::chrono::milliseconds(1000);
-    core::duration endpoint_watch = std::chrono::milliseconds(1000);
-    // Collects changes of endpoints that come together.
-    core::duration endpoint_pause = std::chrono::milliseconds(100);
-    core::duration instance_watch = std::chrono::milliseconds(2000);
+    // The watch of the store: its longest wait, and the pause after it, which collects changes that come
+    // together. A change is seen within the pause and a round trip. In calm times the confirmed configuration
+    // is at most two waits and a pause old, which keeps below denial_lifetime.
+    core::duration store_watch = std::chrono::milliseconds(650);
+    core::duration store_pause = std::chrono::milliseconds(600);
     core::duration store_retry = std::chrono::milliseconds(150);
 
     // Time between two messages to each peer.
--- /dev/null
+++ b/packages/edge/tests/scripted_store.h
@@ -0,0 +1,99 @@
+// A store in memory whose calls can be made to fail, for tests of what follows it.
+
+#pragma once
+
+#include "store/key_value_store.h"
+
+#include <algorithm>
+#include <map>
+#include <vector>
+
+namespace quetzalspan::edge
+{
+
+class scripted_store : public store::key_value_store
+{
+public:
+    void put(const std::string& key, const std::string& value)
+    {
+        const store::store_entry entry{key, value, ++m_revision, m_revision, 0};
+        m_entries[key] = entry;
+        m_changes.push_back({key, m_revision, entry});
+    }
+
+    void remove(const std::string& key)
+    {
+        m_entries.erase(key);
+        m_changes.push_back({key, ++m_revision, std::nullopt});
+    }
+
+    // The next calls fail, as many as said.
+    void fail_calls(int count) { m_failing = count; }
+
+    // The waits that the watches asked for, in order.
+    const std::vector<core::duration>& waits() const { return m_waits; }
+    // The prefixes that the watches asked for, in order.
+    const std::vector<std::string>& prefixes() const { return m_prefixes; }
+
+    boost::asio::awaitable<store::listing> list(std::string prefix) override
+    {
+        check_failure();
+        store::listing result;
+        result.revision = m_revision;
+        for (const auto& [key, entry] : m_entries) {
+            if (key.starts_with(prefix)) {
+                result.entries.push_back(entry);
+            }
+        }
+        co_return result;
+    }
+
+    // Answers at once; the changes of the test are all there.
+    boost::asio::awaitable<store::watch_result> watch(std::string prefix, std::uint64_t after_revision,
+                                                      core::duration timeout) override
+    {
+        m_waits.push_back(timeout);
+        m_prefixes.push_back(prefix);
+        check_failure();
+        store::watch_result result;
+        result.revision = m_revision;
+        std::copy_if(m_changes.begin(), m_changes.end(), std::back_inserter(result.changes),
+                     [&](const store::store_change& change) {
+                         return change.revision > after_revision && change.key.starts_with(prefix);
+                     });
+        co_return result;
+    }
+
+    boost::asio::awaitable<store::write_result> write(std::string, std::string, std::uint64_t,
+                                                      std::uint64_t) override
+    {
+        co_return store::write_result{};
+    }
+    boost::asio::awaitable<std::uint64_t> create_lease(core::duration) override { co_return 1; }
+    boost::asio::awaitable<store::lease_outcome> keep_alive(std::uint64_t) override
+    {
+        co_return store::lease_outcome::applied;
+    }
+    boost::asio::awaitable<store::lease_outcome> revoke_lease(std::uint64_t) override
+    {
+        co_return store::lease_outcome::applied;
+    }
+
+private:
+    void check_failure()
+    {
+        if (m_failing > 0) {
+            --m_failing;
+            throw store::store_unavailable("the test lets this call fail");
+        }
+    }
+
+    std::uint64_t m_revision = 0;
+    int m_failing = 0;
+    std::map<std::string, store::store_entry> m_entries;
+    std::vector<store::store_change> m_changes;
+    std::vector<core::duration> m_waits;
+    std::vector<std::string> m_prefixes;
+};
+
+} // namespace quetzalspan::edge
--- a/packages/store/prefix_mirror.cpp
+++ b/packages/store/prefix_mirror.cpp
@@ -8,11 +8,21 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/post.hpp>
 
+#include <algorithm>
+
 namespace quetzalspan::store
 {
 
 namespace asio = boost::asio;
 
+namespace
+{
+
+// The wait of a watch that follows a failed call: the shortest that every store accepts.
+constexpr core::duration catch_up_wait = std::chrono::milliseconds(1);
+
+} // namespace
+
 prefix_mirror::prefix_mirror(asio::any_io_executor executor, std::shared_ptr<key_value_store> client,
                              mirror_options options, hooks callbacks)
     : m_executor(std::move(executor)),
@@ -182,7 +192,10 @@
     const std::uint64_t after = m_watched_revision;
     ++m_statistics.watches;
     const core::boot_instant sent = core::boot_clock::now();
-    const watch_result found = co_await m_client->watch(m_options.prefix, after, m_options.watch_timeout);
+    // After a failure the copy is older than usual, so the next answer should come at once.
+    const core::duration timeout =
+        m_is_failing ? std::min(m_options.watch_timeout, catch_up_wait) : m_options.watch_timeout;
+    const watch_result found = co_await m_client->watch(m_options.prefix, after, timeout);
     if (m_watch_timer.is_stopped()) {
         co_return;
     }
