--- a/packages/core/log_event.cpp
+++ b/packages/core/log_event.cpp
@@ -142,4 +142,16 @@
     logger.setLogLevel(*level);
 }
 
+void log_task_end(std::string_view task, const std::exception_ptr& thrown)
+{
+    if (!thrown) {
+        return;
+    }
+    try {
+        std::rethrow_exception(thrown);
+    } catch (const std::exception& error) {
+        error_event("task_failed").with("task", task).with("error", error.what());
+    }
+}
+
 } // namespace quetzalspan::core
--- a/packages/core/log_event.h
+++ b/packages/core/log_event.h
@@ -6,6 +6,7 @@
 
 #include <concepts>
 #include <cstdint>
+#include <exception>
 #include <string>
 #include <string_view>
 
@@ -76,4 +77,7 @@
 // log4cplus::Initializer must be alive.
 void configure_logging(std::string_view level_name);
 
+// Writes an error event if a task, such as a coroutine, ended by an exception.
+void log_task_end(std::string_view task, const std::exception_ptr& thrown);
+
 } // namespace quetzalspan::core
--- a/packages/edge/demand_exchange.cpp
+++ b/packages/edge/demand_exchange.cpp
@@ -22,18 +22,6 @@
 // Reports that arrive late or were lost once still count.
 constexpr int report_lifetime_intervals = 3;
 
-void log_end(const char* task, const std::exception_ptr& thrown)
-{
-    if (!thrown) {
-        return;
-    }
-    try {
-        std::rethrow_exception(thrown);
-    } catch (const std::exception& error) {
-        core::error_event("task_failed").with("task", task).with("error", error.what());
-    }
-}
-
 } // namespace
 
 demand_exchange::demand_exchange(const asio::any_io_executor& executor, std::string own_instance,
@@ -75,10 +63,10 @@
     const std::shared_ptr<demand_exchange> self = shared_from_this();
     asio::co_spawn(
         m_timer.get_executor(), [self] { return self->send_messages(); },
-        [](const std::exception_ptr& thrown) { log_end("send_demand", thrown); });
+        [](const std::exception_ptr& thrown) { core::log_task_end("send_demand", thrown); });
     asio::co_spawn(
         m_timer.get_executor(), [self] { return self->receive_messages(); },
-        [](const std::exception_ptr& thrown) { log_end("receive_demand", thrown); });
+        [](const std::exception_ptr& thrown) { core::log_task_end("receive_demand", thrown); });
 }
 
 void demand_exchange::stop()
--- a/packages/edge/instance.cpp
+++ b/packages/edge/instance.cpp
@@ -26,7 +26,9 @@
 // Endpoints close idle connections after several seconds; a connection is given up well before, so that a
 // request is seldom written to one that is just being closed.
 constexpr core::duration idle_connection_lifetime = std::chrono::seconds(5);
+// Connections open within two round trips of some 25 ms; a lost packet is sent again only after a second.
 constexpr core::duration endpoint_connect_time = std::chrono::milliseconds(250);
+// Above the usual sizes of responses; a longer one is relayed as it comes.
 constexpr std::size_t response_buffer_bytes = 256 * 1024;
 
 core::instant current_time()
@@ -41,18 +43,6 @@
     co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
 }
 
-void log_end(const char* task, const std::exception_ptr& thrown)
-{
-    if (!thrown) {
-        return;
-    }
-    try {
-        std::rethrow_exception(thrown);
-    } catch (const std::exception& error) {
-        core::error_event("task_failed").with("task", task).with("error", error.what());
-    }
-}
-
 } // namespace
 
 upstream_options instance::make_upstream_options(const instance_options& options)
@@ -245,7 +235,7 @@
     core::info_event("stop_requested").with("signal", signal);
     asio::co_spawn(
         m_control_context, [this] { return stop(); },
-        [](const std::exception_ptr& thrown) { log_end("stop", thrown); });
+        [](const std::exception_ptr& thrown) { core::log_task_end("stop", thrown); });
 }
 
 asio::awaitable<void> instance::tick()
@@ -298,7 +288,7 @@
     m_callers->start();
     asio::co_spawn(
         m_control_context, [this] { return tick(); },
-        [](const std::exception_ptr& thrown) { log_end("tick", thrown); });
+        [](const std::exception_ptr& thrown) { core::log_task_end("tick", thrown); });
     core::info_event("started")
         .with("instance", m_options.instance)
         .with("region", m_options.region)
--- a/packages/edge/request_rules.cpp
+++ b/packages/edge/request_rules.cpp
@@ -29,6 +29,8 @@
     const routing::route* route = nullptr;
     const routing::workspace* workspace = nullptr;
     const routing::service* traits = nullptr;
+    // Lives as long as the rules.
+    dispatch::retry_budget* budget = nullptr;
 };
 
 const request_context& context_of(const admission& admitted)
@@ -63,7 +65,6 @@
       m_limits(limits),
       m_fleet_size(std::move(fleet_size)),
       m_split(random_fraction()),
-      m_metrics(metrics),
       m_relayed(
           metrics.get_counter("requests_total", "Requests by how they ended.", {{"reason", "relayed"}})),
       m_retries(metrics.get_counter("retries_total", "Requests sent to a further endpoint.")),
@@ -144,8 +145,9 @@
     context->workspace = workspace;
     context->traits = table->find_service(result.service);
     context->table = table;
+    context->budget = &budget_of(result.service);
+    context->budget->record_request();
     result.context = context;
-    budget_of(result.service).record_request();
     return result;
 }
 
@@ -250,7 +252,7 @@
     if (state.sends == 0) {
         return true;
     }
-    const bool is_granted = budget_of(admitted.service).try_spend();
+    const bool is_granted = context_of(admitted).budget->try_spend();
     (is_granted ? m_retries : m_retries_refused).add();
     core::info_event("retry")
         .with("request_id", request.request_id)
--- a/packages/edge/request_rules.h
+++ b/packages/edge/request_rules.h
@@ -75,7 +75,6 @@
     quota::fleet_quota& m_limits;
     std::function<std::uint32_t()> m_fleet_size;
     routing::traffic_split m_split;
-    burn::metrics_registry& m_metrics;
     burn::counter& m_relayed;
     burn::counter& m_retries;
     burn::counter& m_retries_refused;
--- a/packages/placement/cold_start.cpp
+++ b/packages/placement/cold_start.cpp
@@ -2,6 +2,8 @@
 
 #include "placement/cold_start.h"
 
+#include "core/stable_hash.h"
+
 #include <algorithm>
 
 namespace quetzalspan::placement
@@ -13,22 +15,14 @@
 // Longer than the second that the limit counts, for requests that take different times to arrive.
 constexpr core::duration cold_window = std::chrono::milliseconds(1150);
 
-std::uint64_t mix(std::uint64_t value)
-{
-    // The finalizer of SplitMix64.
-    value = (value ^ (value >> 30U)) * 0xbf58476d1ce4e5b9U;
-    value = (value ^ (value >> 27U)) * 0x94d049bb133111ebU;
-    return value ^ (value >> 31U);
-}
-
 } // namespace
 
 std::uint32_t duty_rank(std::uint64_t duty, const fleet_position& fleet)
 {
-    const std::uint64_t own = mix(fleet.own_hash ^ duty);
+    const std::uint64_t own = core::mix_hash(fleet.own_hash ^ duty);
     std::uint32_t rank = 0;
     for (const std::uint64_t other : fleet.hashes) {
-        rank += other != fleet.own_hash && mix(other ^ duty) < own ? 1 : 0;
+        rank += other != fleet.own_hash && core::mix_hash(other ^ duty) < own ? 1 : 0;
     }
     return rank;
 }
--- a/packages/placement/endpoint_choice.cpp
+++ b/packages/placement/endpoint_choice.cpp
@@ -16,34 +16,32 @@
 // Returns a number above 0 and at most 1 that depends on both hashes.
 double unit_hash(std::uint64_t object, std::uint64_t endpoint_hash)
 {
-    std::uint64_t value = object ^ (endpoint_hash * 0x9e3779b97f4a7c15U);
-    value = (value ^ (value >> 30U)) * 0xbf58476d1ce4e5b9U;
-    value = (value ^ (value >> 27U)) * 0x94d049bb133111ebU;
-    value ^= value >> 31U;
+    const std::uint64_t value = core::mix_hash(object ^ (endpoint_hash * 0x9e3779b97f4a7c15U));
     constexpr double steps = 9007199254740992.0; // 2^53
     return (static_cast<double>(value >> 11U) + 1) / steps;
 }
 
-// How much an endpoint is to be avoided; a lower level is always preferred.
-enum class reluctance { none, full, slow, ejected, refused };
+// Why an endpoint is passed over; an endpoint with a lower level is always preferred, and a closed one is
+// never chosen.
+enum class penalty_level { none, full, slow, ejected, closed };
 
-reluctance reluctance_of(endpoint& candidate, const choice_request& request, const fleet_position& fleet,
+penalty_level penalty_of(endpoint& candidate, const choice_request& request, const fleet_position& fleet,
                          const choice_options& options, core::instant now)
 {
     if (candidate.outstanding >= options.outstanding_limit ||
         !allows_cold_send(candidate, request.cold, fleet, now)) {
-        return reluctance::refused;
+        return penalty_level::closed;
     }
     if (now < candidate.ejected_until) {
-        return reluctance::ejected;
+        return penalty_level::ejected;
     }
     if (now < candidate.slow_until) {
-        return reluctance::slow;
+        return penalty_level::slow;
     }
     if (candidate.outstanding >= options.spill_limit || now < candidate.busy_until) {
-        return reluctance::full;
+        return penalty_level::full;
     }
-    return reluctance::none;
+    return penalty_level::none;
 }
 
 bool is_candidate(const endpoint& entry, const choice_request& request)
@@ -55,11 +53,11 @@
            std::find(request.tried->begin(), request.tried->end(), entry.record.id) == request.tried->end();
 }
 
-bool needs_introduction(const endpoint& entry, const choice_request& request, const fleet_position& fleet,
-                        const choice_options& options, core::instant now)
+bool is_due_first_request(const endpoint& entry, const choice_request& request, const fleet_position& fleet,
+                          const choice_options& options, core::instant now)
 {
     return request.is_repeatable && entry.sent == 0 && entry.outstanding == 0 &&
-           now - entry.known_since >= options.introduction_delay && duty_rank(entry.hash, fleet) == 0;
+           now - entry.known_since >= options.first_request_delay && duty_rank(entry.hash, fleet) == 0;
 }
 
 } // namespace
@@ -70,7 +68,7 @@
     const std::string_view object = request.affinity.empty() ? request.request_id : request.affinity;
     const std::uint64_t object_hash = core::stable_hash(object, core::stable_hash(request.service));
     choice result;
-    reluctance best_reluctance = reluctance::refused;
+    penalty_level best_penalty = penalty_level::closed;
     double best_score = 0;
     double first_score = 0;
     for (const endpoint_pointer& entry : catalog.find_service(request.service)) {
@@ -84,19 +82,19 @@
         const double weight = (is_own_region ? options.own_region_weight : 1.0) * region_weight;
         const double score = -std::log(unit_hash(object_hash, entry->hash)) / weight;
         first_score = result.candidates == 1 ? score : std::min(first_score, score);
-        const reluctance level = reluctance_of(*entry, request, fleet, options, now);
-        if (level == reluctance::refused) {
+        const penalty_level level = penalty_of(*entry, request, fleet, options, now);
+        if (level == penalty_level::closed) {
             continue;
         }
-        if (level == reluctance::none && needs_introduction(*entry, request, fleet, options, now)) {
+        if (level == penalty_level::none && is_due_first_request(*entry, request, fleet, options, now)) {
             result.target = entry;
             return result;
         }
         const bool is_better =
-            !result.target || level < best_reluctance || (level == best_reluctance && score < best_score);
+            !result.target || level < best_penalty || (level == best_penalty && score < best_score);
         if (is_better) {
             result.target = entry;
-            best_reluctance = level;
+            best_penalty = level;
             best_score = score;
         }
     }
--- a/packages/placement/endpoint_choice.h
+++ b/packages/placement/endpoint_choice.h
@@ -20,14 +20,16 @@
 {
 
 struct choice_options {
-    // Own requests under way at an endpoint from which the next one in order is taken.
+    // Own requests under way at an endpoint from which the next one in order is taken: twice its usual slots.
+    // Waiting there costs less than work on an object that another endpoint does not know.
     std::uint32_t spill_limit = 6;
-    // Own requests under way at an endpoint beyond which it gets no more.
+    // Own requests under way at an endpoint beyond which it gets no more: its usual slots and queue.
     std::uint32_t outstanding_limit = 12;
-    // Weight of the endpoints of the own region relative to those of other regions.
+    // Weight of the endpoints of the own region relative to those of other regions. A higher one saves bytes
+    // between regions and splits the objects over more endpoints that do not know them.
     double own_region_weight = 2;
-    // An endpoint that is known this long and has received nothing gets one request by way of introduction.
-    core::duration introduction_delay = std::chrono::milliseconds(800);
+    // An endpoint that is known this long and has received nothing gets one request, so that it takes part.
+    core::duration first_request_delay = std::chrono::milliseconds(800);
 };
 
 struct choice_request {
--- a/packages/placement/endpoint_health.h
+++ b/packages/placement/endpoint_health.h
@@ -39,6 +39,8 @@
     {attempt_outcome::nothing_learned, "nothing-learned"},
 }}};
 
+// The limits weigh two errors: an endpoint that is passed over for nothing loses the objects that it knows,
+// and one that fails costs each request sent to it an attempt.
 struct health_options {
     // Failures in a row after which an endpoint is ejected.
     std::uint32_t failure_limit = 2;
--- a/packages/placement/tests/choice_test.cpp
+++ b/packages/placement/tests/choice_test.cpp
@@ -130,7 +130,7 @@
 }
 
 // Guards against an endpoint that joins and is never used because no object is assigned to it.
-TEST(choice, an_endpoint_that_joined_gets_one_request_by_way_of_introduction)
+TEST(choice, an_endpoint_that_joined_gets_one_request_soon)
 {
     endpoints.apply(make_record("new", "savo"), start, false);
     for (const endpoint_pointer& entry : endpoints.find_service("orders")) {
@@ -138,7 +138,7 @@
     }
     choice_request wanted = request("x");
     wanted.is_repeatable = true;
-    const core::instant later = start + options.introduction_delay;
+    const core::instant later = start + options.first_request_delay;
     CHECK_EQUAL(std::string("new"),
                 choose_endpoint(endpoints, wanted, alone, options, later).target->record.id);
     endpoints.find("new")->sent = 1;
--- a/packages/store/store_client.cpp
+++ b/packages/store/store_client.cpp
@@ -2,8 +2,8 @@
 
 #include "store/store_client.h"
 
-#include "codec/json_reader.h"
 #include "core/log_event.h"
+#include "store/json_call.h"
 
 #include <random>
 
@@ -32,18 +32,6 @@
     return "/v1/kv/" + http::encode_parameter(key);
 }
 
-http::request make_request(std::string method, std::string target, const Json::Value& body = {})
-{
-    http::request message;
-    message.method = std::move(method);
-    message.target = std::move(target);
-    if (!body.isNull()) {
-        message.headers.push_back({"Content-Type", "application/json"});
-        message.body = codec::to_compact_text(body);
-    }
-    return message;
-}
-
 store_entry read_entry(codec::json_reader& in, const Json::Value& value, const std::string& path)
 {
     store_entry result;
@@ -64,22 +52,6 @@
     return read_entry(in, parent[member], path + "." + member);
 }
 
-// Reads a response by the given function. A malformed response counts as none.
-template <typename Result>
-Result parse_response(const http::response& answer,
-                      const std::function<Result(codec::json_reader&, const Json::Value&)>& convert)
-{
-    codec::json_reader in("store response");
-    try {
-        const Json::Value body = in.parse_object(answer.body);
-        Result result = convert(in, body);
-        in.finish();
-        return result;
-    } catch (const core::findings_error& error) {
-        throw store_unavailable(std::string("malformed response: ") + error.what());
-    }
-}
-
 [[noreturn]] void throw_for_status(const http::response& answer)
 {
     const std::string message =
@@ -119,11 +91,11 @@
 
 asio::awaitable<read_result> store_client::read(std::string key)
 {
-    const http::response answer = co_await call_safely(make_request("GET", key_target(key)));
+    const http::response answer = co_await call_safely(make_json_request("GET", key_target(key)));
     if (answer.status != 200 && answer.status != 404) {
         throw_for_status(answer);
     }
-    co_return parse_response<read_result>(answer, [](codec::json_reader& in, const Json::Value& body) {
+    co_return parse_json_response<read_result>(answer, [](codec::json_reader& in, const Json::Value& body) {
         return read_result{in.count(body, "revision", "response"),
                            read_optional_entry(in, body, "entry", "response")};
     });
@@ -132,11 +104,11 @@
 asio::awaitable<listing> store_client::list(std::string prefix)
 {
     const http::response answer =
-        co_await call_safely(make_request("GET", "/v1/kv?prefix=" + http::encode_parameter(prefix)));
+        co_await call_safely(make_json_request("GET", "/v1/kv?prefix=" + http::encode_parameter(prefix)));
     if (answer.status != 200) {
         throw_for_status(answer);
     }
-    co_return parse_response<listing>(answer, [](codec::json_reader& in, const Json::Value& body) {
+    co_return parse_json_response<listing>(answer, [](codec::json_reader& in, const Json::Value& body) {
         listing result;
         result.revision = in.count(body, "revision", "response");
         in.each(body, "entries", "response", most_items, [&](const Json::Value& item, const std::string& at) {
@@ -153,13 +125,13 @@
     body["value"] = value;
     body["expected_revision"] = Json::UInt64(expected_revision);
     body["lease"] = Json::UInt64(lease);
-    co_return co_await call_write(make_request("PUT", key_target(key), body));
+    co_return co_await call_write(make_json_request("PUT", key_target(key), body));
 }
 
 asio::awaitable<write_result> store_client::erase(std::string key, std::uint64_t expected_revision)
 {
     const std::string target = key_target(key) + "?expected_revision=" + std::to_string(expected_revision);
-    co_return co_await call_write(make_request("DELETE", target));
+    co_return co_await call_write(make_json_request("DELETE", target));
 }
 
 asio::awaitable<watch_result> store_client::watch(std::string prefix, std::uint64_t after_revision,
@@ -169,7 +141,7 @@
                                "&after=" + std::to_string(after_revision) +
                                "&timeout_ms=" + std::to_string(core::to_milliseconds(timeout));
     const std::optional<http::response> answer =
-        co_await call(make_request("GET", target), call_kind::watch, timeout + m_options.call_timeout);
+        co_await call(make_json_request("GET", target), call_kind::watch, timeout + m_options.call_timeout);
     if (!answer) {
         throw store_unavailable("the watch got no response");
     }
@@ -177,8 +149,8 @@
         throw_for_status(*answer);
     }
     const bool is_discarded = answer->status == 410;
-    co_return parse_response<watch_result>(*answer, [is_discarded](codec::json_reader& in,
-                                                                   const Json::Value& body) {
+    co_return parse_json_response<watch_result>(*answer, [is_discarded](codec::json_reader& in,
+                                                                        const Json::Value& body) {
         watch_result result;
         result.is_history_discarded = is_discarded;
         result.revision = in.count(body, "revision", "response");
@@ -194,36 +166,38 @@
 {
     Json::Value body;
     body["ttl_ms"] = Json::Int64(core::to_milliseconds(time_to_live));
-    const std::optional<http::response> answer =
-        co_await call(make_request("POST", "/v1/leases", body), call_kind::write, m_options.call_timeout);
+    const std::optional<http::response> answer = co_await call(make_json_request("POST", "/v1/leases", body),
+                                                               call_kind::write, m_options.call_timeout);
     if (!answer) {
         throw store_unavailable("the new lease is not known");
     }
     if (answer->status != 200) {
         throw_for_status(*answer);
     }
-    co_return parse_response<std::uint64_t>(*answer, [](codec::json_reader& in, const Json::Value& document) {
-        return in.count(document, "lease", "response");
-    });
+    co_return parse_json_response<std::uint64_t>(*answer,
+                                                 [](codec::json_reader& in, const Json::Value& document) {
+                                                     return in.count(document, "lease", "response");
+                                                 });
 }
 
 asio::awaitable<lease_outcome> store_client::keep_alive(std::uint64_t lease)
 {
-    co_return co_await call_lease(make_request("POST", "/v1/leases/" + std::to_string(lease) + "/keepalive"));
+    co_return co_await call_lease(
+        make_json_request("POST", "/v1/leases/" + std::to_string(lease) + "/keepalive"));
 }
 
 asio::awaitable<lease_outcome> store_client::revoke_lease(std::uint64_t lease)
 {
-    co_return co_await call_lease(make_request("DELETE", "/v1/leases/" + std::to_string(lease)));
+    co_return co_await call_lease(make_json_request("DELETE", "/v1/leases/" + std::to_string(lease)));
 }
 
 asio::awaitable<std::vector<instance_entry>> store_client::instances()
 {
-    const http::response answer = co_await call_safely(make_request("GET", "/v1/instances"));
+    const http::response answer = co_await call_safely(make_json_request("GET", "/v1/instances"));
     if (answer.status != 200) {
         throw_for_status(answer);
     }
-    co_return parse_response<std::vector<instance_entry>>(
+    co_return parse_json_response<std::vector<instance_entry>>(
         answer, [](codec::json_reader& in, const Json::Value& body) {
             std::vector<instance_entry> result;
             in.each(body, "instances", "response", most_items,
@@ -267,7 +241,7 @@
     }
     result.outcome = answer->status == 200 ? write_outcome::applied : write_outcome::conflict;
     try {
-        co_return parse_response<write_result>(
+        co_return parse_json_response<write_result>(
             *answer, [&result](codec::json_reader& in, const Json::Value& body) {
                 write_result parsed = result;
                 parsed.revision = in.count(body, "revision", "response");
--- a/tests/support/child_process.cpp
+++ b/tests/support/child_process.cpp
@@ -30,18 +30,29 @@
     return WIFEXITED(status) ? WEXITSTATUS(status) : signal_exit_base + WTERMSIG(status);
 }
 
+std::vector<char*> to_pointers(std::vector<std::string>& texts)
+{
+    std::vector<char*> result;
+    for (std::string& text : texts) {
+        result.push_back(text.data());
+    }
+    result.push_back(nullptr);
+    return result;
+}
+
 } // namespace
 
 child_process child_process::start(const std::string& program, const std::vector<std::string>& arguments,
-                                   const std::string& log_file)
+                                   const std::string& log_file, const std::vector<std::string>& environment)
 {
     std::vector<std::string> texts{program};
     texts.insert(texts.end(), arguments.begin(), arguments.end());
-    std::vector<char*> pointers;
-    for (std::string& text : texts) {
-        pointers.push_back(text.data());
+    std::vector<char*> pointers = to_pointers(texts);
+    std::vector<std::string> variables(environment);
+    for (char** variable = environ; *variable != nullptr; ++variable) {
+        variables.emplace_back(*variable);
     }
-    pointers.push_back(nullptr);
+    std::vector<char*> variable_pointers = to_pointers(variables);
 
     posix_spawn_file_actions_t actions;
     posix_spawn_file_actions_init(&actions);
@@ -49,8 +60,11 @@
     posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO, log_file.c_str(), O_WRONLY | O_CREAT | O_APPEND,
                                      log_mode);
     posix_spawn_file_actions_adddup2(&actions, STDOUT_FILENO, STDERR_FILENO);
+    // A socket that a child inherits stays open when this process closes it.
+    posix_spawn_file_actions_addclosefrom_np(&actions, STDERR_FILENO + 1);
     pid_t id = -1;
-    const int error = posix_spawn(&id, program.c_str(), &actions, nullptr, pointers.data(), environ);
+    const int error =
+        posix_spawn(&id, program.c_str(), &actions, nullptr, pointers.data(), variable_pointers.data());
     posix_spawn_file_actions_destroy(&actions);
     if (error != 0) {
         throw std::system_error(error, std::generic_category(), "cannot start " + program);
--- a/tests/support/child_process.h
+++ b/tests/support/child_process.h
@@ -15,9 +15,10 @@
 class child_process
 {
 public:
-    // Starts the program with its output going to the log file. Throws std::system_error if it cannot start.
+    // Starts the program with its output going to the log file. The settings of the form NAME=VALUE are added
+    // to its environment. Throws std::system_error if it cannot start.
     static child_process start(const std::string& program, const std::vector<std::string>& arguments,
-                               const std::string& log_file);
+                               const std::string& log_file, const std::vector<std::string>& environment = {});
 
     child_process(child_process&& other) noexcept;
     child_process& operator=(child_process&& other) noexcept;
--- a/tests/support/network_link.cpp
+++ b/tests/support/network_link.cpp
@@ -4,6 +4,7 @@
 
 #include <boost/asio/connect.hpp>
 #include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_future.hpp>
 #include <boost/asio/write.hpp>
 
@@ -19,8 +20,8 @@
 class network_link::connection : public std::enable_shared_from_this<network_link::connection>
 {
 public:
-    connection(asio::io_context& context, asio::ip::tcp::socket client, bool is_cut)
-        : m_client(std::move(client)), m_server(context), m_is_cut(is_cut)
+    connection(network_link& link, asio::ip::tcp::socket client)
+        : m_link(link), m_client(std::move(client)), m_server(link.m_context), m_is_cut(link.m_is_cut)
     {
     }
 
@@ -32,13 +33,21 @@
                 self->close();
                 return;
             }
-            self->pump(self->m_client, self->m_server, self->m_upward);
-            self->pump(self->m_server, self->m_client, self->m_downward);
+            self->pump(self->m_client, self->m_server, self->m_upward, false);
+            self->pump(self->m_server, self->m_client, self->m_downward, true);
         });
     }
 
     void set_cut() { m_is_cut = true; }
 
+    void reset()
+    {
+        error_code ignored;
+        m_client.set_option(asio::socket_base::linger(true, 0), ignored);
+        m_server.set_option(asio::socket_base::linger(true, 0), ignored);
+        close();
+    }
+
     void close()
     {
         error_code ignored;
@@ -49,31 +58,44 @@
 private:
     using buffer = std::array<char, 16384>;
 
-    void pump(asio::ip::tcp::socket& from, asio::ip::tcp::socket& to, buffer& storage)
+    void pump(asio::ip::tcp::socket& from, asio::ip::tcp::socket& to, buffer& storage, bool is_response)
     {
         const std::shared_ptr<connection> self = shared_from_this();
-        from.async_read_some(
-            asio::buffer(storage), [self, &from, &to, &storage](const error_code& error, std::size_t size) {
-                if (self->m_is_cut) {
-                    // Swallows the bytes and reads no more: the other side sees silence.
-                    return;
-                }
-                if (error) {
-                    error_code ignored;
-                    to.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
-                    return;
-                }
-                asio::async_write(to, asio::buffer(storage, size),
-                                  [self, &from, &to, &storage](const error_code& write_error, std::size_t) {
-                                      if (write_error) {
-                                          self->close();
-                                          return;
-                                      }
-                                      self->pump(from, to, storage);
-                                  });
-            });
+        from.async_read_some(asio::buffer(storage), [self, &from, &to, &storage,
+                                                     is_response](const error_code& error, std::size_t size) {
+            if (self->m_is_cut || (is_response && self->m_link.m_drops_responses)) {
+                // Swallows the bytes and reads no more: the other side sees silence.
+                return;
+            }
+            if (error) {
+                error_code ignored;
+                to.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+                return;
+            }
+            self->pass_on(from, to, storage, size, is_response);
+        });
+    }
+
+    void pass_on(asio::ip::tcp::socket& from, asio::ip::tcp::socket& to, buffer& storage, std::size_t size,
+                 bool is_response)
+    {
+        const std::shared_ptr<connection> self = shared_from_this();
+        const std::shared_ptr<asio::steady_timer> timer =
+            std::make_shared<asio::steady_timer>(m_link.m_context, m_link.m_delay);
+        timer->async_wait([self, timer, &from, &to, &storage, size, is_response](const error_code&) {
+            asio::async_write(
+                to, asio::buffer(storage, size),
+                [self, &from, &to, &storage, is_response](const error_code& error, std::size_t) {
+                    if (error) {
+                        self->close();
+                        return;
+                    }
+                    self->pump(from, to, storage, is_response);
+                });
+        });
     }
 
+    network_link& m_link;
     asio::ip::tcp::socket m_client;
     asio::ip::tcp::socket m_server;
     bool m_is_cut;
@@ -81,9 +103,9 @@
     buffer m_downward{};
 };
 
-network_link::network_link(std::uint16_t target_port)
+network_link::network_link(std::uint16_t target_port, const std::string& target_host)
     : m_acceptor(m_context, {asio::ip::make_address("127.0.0.1"), 0}),
-      m_target(asio::ip::make_address("127.0.0.1"), target_port)
+      m_target(asio::ip::make_address(target_host), target_port)
 {
     m_port = m_acceptor.local_endpoint().port();
     accept();
@@ -101,7 +123,7 @@
     m_acceptor.async_accept([this](const error_code& error, asio::ip::tcp::socket socket) {
         if (!error) {
             const std::shared_ptr<connection> accepted =
-                std::make_shared<connection>(m_context, std::move(socket), m_is_cut);
+                std::make_shared<connection>(*this, std::move(socket));
             m_connections.insert(accepted);
             accepted->start(m_target);
         }
@@ -109,27 +131,54 @@
     });
 }
 
+void network_link::run(std::function<void()> action)
+{
+    asio::post(m_context, asio::use_future(std::move(action))).get();
+}
+
 void network_link::cut()
 {
-    asio::post(m_context, asio::use_future([this] {
-                   m_is_cut = true;
-                   for (const std::shared_ptr<connection>& entry : m_connections) {
-                       entry->set_cut();
-                   }
-               }))
-        .get();
+    run([this] {
+        m_is_cut = true;
+        for (const std::shared_ptr<connection>& entry : m_connections) {
+            entry->set_cut();
+        }
+    });
+}
+
+void network_link::cut_responses()
+{
+    run([this] { m_drops_responses = true; });
+}
+
+void network_link::set_delay(core::duration delay)
+{
+    run([this, delay] { m_delay = delay; });
+}
+
+void network_link::reset()
+{
+    run([this] {
+        for (const std::shared_ptr<connection>& entry : m_connections) {
+            entry->reset();
+        }
+        m_connections.clear();
+    });
 }
 
 void network_link::heal()
 {
-    asio::post(m_context, asio::use_future([this] {
-                   m_is_cut = false;
-                   for (const std::shared_ptr<connection>& entry : m_connections) {
-                       entry->close();
-                   }
-                   m_connections.clear();
-               }))
-        .get();
+    run([this] {
+        const bool was_cut = std::exchange(m_is_cut, false);
+        const bool dropped_responses = std::exchange(m_drops_responses, false);
+        if (!was_cut && !dropped_responses) {
+            return;
+        }
+        for (const std::shared_ptr<connection>& entry : m_connections) {
+            entry->close();
+        }
+        m_connections.clear();
+    });
 }
 
 } // namespace quetzalspan::tests
