Quota, Edge: Grant a reserve of each limit by request

Cause: a limit was divided into shares alone.

Change: two to six tenths of a limit are divided into shares, the rest is a reserve. An instance whose share is used up asks the collector of the workspace for a token, and the other collector if the first does not answer. A limit whose burst has no token for each instance is granted by request alone. A collector grants only while most instances report to it, so of two parts of a divided fleet at most one uses the reserve.

--- a/packages/edge/control_feeds.cpp
+++ b/packages/edge/control_feeds.cpp
@@ -135,6 +135,7 @@
         limits.push_back({workspace.name, workspace.rate, workspace.burst});
     }
     m_targets.limits.set_limits(limits, current_time());
+    m_targets.reserve.set_limits(limits, current_time());
     core::info_event("configuration_in_force")
         .with("version", table->version())
         .with("revision", entry->revision)
@@ -199,7 +200,9 @@
 
 void control_feeds::update_fleet_size()
 {
-    m_targets.limits.set_fleet_size(m_targets.instances.size(), current_time());
+    const std::size_t size = m_targets.instances.size();
+    m_targets.limits.set_fleet_size(size, current_time());
+    m_targets.reserve.set_fleet_size(size, current_time());
 }
 
 } // namespace quetzalspan::edge
--- a/packages/edge/control_feeds.h
+++ b/packages/edge/control_feeds.h
@@ -11,6 +11,7 @@
 #include "edge/traffic_state.h"
 #include "edge/upstreams.h"
 #include "quota/fleet_quota.h"
+#include "quota/shared_reserve.h"
 #include "store/prefix_mirror.h"
 
 #include <functional>
@@ -25,6 +26,7 @@
     upstreams& endpoints;
     roster& instances;
     quota::fleet_quota& limits;
+    quota::shared_reserve& reserve;
     registration& own;
     // Called when the first configuration is in force.
     std::function<void()> on_configured;
--- a/packages/edge/instance.cpp
+++ b/packages/edge/instance.cpp
@@ -82,11 +82,13 @@
       m_signals(m_control_context, SIGTERM, SIGINT, SIGHUP),
       m_roster({m_options.instance, m_options.peer_lifetime}),
       m_limits(make_quota_options(m_options)),
+      m_reserve(make_quota_options(m_options)),
       m_upstreams(
           make_upstream_options(m_options), [this] { return m_roster.position(); }, m_metrics),
       m_rules(
-          make_rule_options(m_options), m_state, m_upstreams, m_limits, [this] { return m_roster.size(); },
-          m_metrics)
+          make_rule_options(m_options), m_state, m_upstreams, m_limits,
+          [this](std::string workspace) { return ask_token(std::move(workspace)); },
+          [this] { return m_roster.size(); }, m_metrics)
 {
 }
 
@@ -140,7 +142,7 @@
     m_registration =
         registration::create(executor, m_store, own_record(),
                              {m_options.lease_time, m_options.lease_renewal, m_options.store_retry});
-    feed_targets targets{m_state, m_upstreams, m_roster, m_limits, *m_registration, {}};
+    feed_targets targets{m_state, m_upstreams, m_roster, m_limits, m_reserve, *m_registration, {}};
     targets.on_configured = [this] { core::info_event("ready").with("instance", m_options.instance); };
     m_feeds = std::make_unique<control_feeds>(executor, m_store, m_site, m_options, std::move(targets));
     demand_exchange::hooks hooks;
@@ -160,6 +162,11 @@
                 .with("reporters", message.sums.reporters);
         }
     };
+    hooks.granters = [this](const std::string& workspace) {
+        return m_roster.granters(workspace, current_time());
+    };
+    hooks.fleet_size = [this] { return m_roster.size(); };
+    hooks.grant = [this](const std::string& workspace) { return m_reserve.grant(workspace, current_time()); };
     m_demand = demand_exchange::create(executor, m_options.instance, m_options.peers,
                                        m_options.demand_interval, std::move(hooks));
 }
@@ -238,6 +245,13 @@
         [](const std::exception_ptr& thrown) { core::log_task_end("stop", thrown); });
 }
 
+asio::awaitable<quota::quota_decision> instance::ask_token(std::string workspace)
+{
+    const quota::quota_decision result = co_await asio::co_spawn(
+        m_control_context, m_demand->ask_token(std::move(workspace)), asio::use_awaitable);
+    co_return result;
+}
+
 asio::awaitable<void> instance::tick()
 {
     core::instant pool_checked = current_time();
--- a/packages/edge/instance.h
+++ b/packages/edge/instance.h
@@ -10,6 +10,7 @@
 #include "edge/instance_options.h"
 #include "edge/request_rules.h"
 #include "http/server.h"
+#include "quota/shared_reserve.h"
 #include "upstream/connection_pool.h"
 
 #include <boost/asio/io_context.hpp>
@@ -58,6 +59,8 @@
     void add_metrics();
     void await_signal();
     void handle_signal(int signal);
+    // Runs on the thread of a request.
+    boost::asio::awaitable<quota::quota_decision> ask_token(std::string workspace);
     boost::asio::awaitable<void> tick();
     boost::asio::awaitable<void> stop();
     instance_record own_record() const;
@@ -75,6 +78,7 @@
     traffic_state m_state;
     roster m_roster;
     quota::fleet_quota m_limits;
+    quota::shared_reserve m_reserve;
     upstreams m_upstreams;
     request_rules m_rules;
     std::shared_ptr<upstream::connection_pool> m_pool;
--- a/packages/edge/peer_message.cpp
+++ b/packages/edge/peer_message.cpp
@@ -14,6 +14,10 @@
 
 constexpr const char* report_method = "demand";
 constexpr const char* sums_method = "demand_sums";
+constexpr const char* token_request_method = "token_request";
+constexpr const char* token_answer_method = "token_answer";
+// Longer than any wait for a token that makes sense.
+constexpr std::uint64_t most_retry_ms = 60'000;
 
 // Demand travels in tenths of a request per second, as whole numbers.
 constexpr double steps_per_request = 10;
@@ -78,8 +82,44 @@
     return result;
 }
 
+token_request_message read_token_request(codec::json_reader& in, const Json::Value& params)
+{
+    token_request_message result;
+    result.instance = in.text(params, "instance", "params");
+    result.number = in.count(params, "number", "params");
+    result.workspace = in.text(params, "workspace", "params");
+    return result;
+}
+
+token_answer_message read_token_answer(codec::json_reader& in, const Json::Value& params)
+{
+    token_answer_message result;
+    result.number = in.count(params, "number", "params");
+    result.is_granted = in.flag(params, "granted", "params");
+    result.retry_after = std::chrono::milliseconds(in.count(params, "retry_ms", "params", most_retry_ms));
+    return result;
+}
+
 } // namespace
 
+std::string to_text(const token_request_message& message)
+{
+    Json::Value params;
+    params["instance"] = message.instance;
+    params["number"] = Json::UInt64(message.number);
+    params["workspace"] = message.workspace;
+    return to_notification(token_request_method, std::move(params));
+}
+
+std::string to_text(const token_answer_message& message)
+{
+    Json::Value params;
+    params["number"] = Json::UInt64(message.number);
+    params["granted"] = message.is_granted;
+    params["retry_ms"] = Json::Int64(core::to_milliseconds(message.retry_after));
+    return to_notification(token_answer_method, std::move(params));
+}
+
 std::string to_text(const demand_report_message& message)
 {
     Json::Value params;
@@ -116,6 +156,10 @@
         result = read_report(in, params);
     } else if (method == sums_method) {
         result = read_sums(in, params);
+    } else if (method == token_request_method) {
+        result = read_token_request(in, params);
+    } else if (method == token_answer_method) {
+        result = read_token_answer(in, params);
     } else {
         in.add_fault("message.method", "is unknown");
     }
--- a/packages/edge/peer_message.h
+++ b/packages/edge/peer_message.h
@@ -3,6 +3,7 @@
 
 #pragma once
 
+#include "core/time.h"
 #include "quota/demand.h"
 
 #include <set>
@@ -28,10 +29,27 @@
     std::set<std::string, std::less<>> silent;
 };
 
-using peer_message = std::variant<demand_report_message, demand_sums_message>;
+struct token_request_message {
+    std::string instance;
+    // Chosen by the sender; returned with the answer.
+    std::uint64_t number = 0;
+    std::string workspace;
+};
+
+struct token_answer_message {
+    std::uint64_t number = 0;
+    bool is_granted = false;
+    // When to ask again after a rejection.
+    core::duration retry_after{0};
+};
+
+using peer_message =
+    std::variant<demand_report_message, demand_sums_message, token_request_message, token_answer_message>;
 
 std::string to_text(const demand_report_message& message);
 std::string to_text(const demand_sums_message& message);
+std::string to_text(const token_request_message& message);
+std::string to_text(const token_answer_message& message);
 
 // Throws core::findings_error if the text is no message.
 peer_message parse_peer_message(std::string_view text, const std::string& source);
--- a/packages/edge/request_rules.cpp
+++ b/packages/edge/request_rules.cpp
@@ -57,12 +57,13 @@
 } // namespace
 
 request_rules::request_rules(request_rule_options options, const traffic_state& state, upstreams& endpoints,
-                             quota::fleet_quota& limits, std::function<std::uint32_t()> fleet_size,
-                             burn::metrics_registry& metrics)
+                             quota::fleet_quota& limits, token_hook ask_token,
+                             std::function<std::uint32_t()> fleet_size, burn::metrics_registry& metrics)
     : m_options(options),
       m_state(state),
       m_endpoints(endpoints),
       m_limits(limits),
+      m_ask_token(std::move(ask_token)),
       m_fleet_size(std::move(fleet_size)),
       m_split(random_fraction()),
       m_relayed(
@@ -70,6 +71,10 @@
       m_retries(metrics.get_counter("retries_total", "Requests sent to a further endpoint.")),
       m_retries_refused(metrics.get_counter("retries_refused_total", "Retries that the budget refused.")),
       m_malformed(metrics.get_counter("malformed_messages_total", "Messages that are no acceptable HTTP.")),
+      m_tokens_granted(metrics.get_counter("tokens_total", "Requests that asked a collector for a token.",
+                                           {{"result", "granted"}})),
+      m_tokens_refused(metrics.get_counter("tokens_total", "Requests that asked a collector for a token.",
+                                           {{"result", "refused"}})),
       m_latency(metrics.get_summary("request_seconds", "Time from the header of a request to its end."))
 {
     for (std::size_t index = 0; index < failure_count; ++index) {
@@ -85,7 +90,7 @@
     result.begin = [this](const request_summary& request, core::instant) { return begin(request); };
     result.admit = [this](const admission& admitted,
                           caller::wait_context&) -> asio::awaitable<std::optional<rejection>> {
-        co_return admit(admitted, current_time());
+        co_return co_await admit(admitted);
     };
     result.acquire = [this](const request_summary& request, const admission& admitted,
                             const std::vector<std::string>& tried,
@@ -170,14 +175,20 @@
     return std::nullopt;
 }
 
-std::optional<rejection> request_rules::admit(const admission& admitted, core::instant now)
+asio::awaitable<std::optional<rejection>> request_rules::admit(const admission& admitted)
 {
     if (admitted.is_public) {
-        return std::nullopt;
+        co_return std::nullopt;
     }
+    const core::instant now = current_time();
     const quota::quota_decision decision = m_limits.admit(admitted.workspace, now);
     if (decision.is_admitted) {
-        return std::nullopt;
+        co_return std::nullopt;
+    }
+    const quota::quota_decision asked = co_await m_ask_token(admitted.workspace);
+    (asked.is_admitted ? m_tokens_granted : m_tokens_refused).add();
+    if (asked.is_admitted) {
+        co_return std::nullopt;
     }
     core::info_event("rate_limited")
         .with("request_id", context_of(admitted).request_id)
@@ -185,8 +196,9 @@
         .with("configuration", admitted.revision)
         .with("share_permille", static_cast<int>(decision.share * 1000))
         .with("demand_per_s", static_cast<int>(decision.demand))
+        .with("asked_ms", core::to_milliseconds(current_time() - now))
         .with("retry_after_ms", core::to_milliseconds(decision.retry_after));
-    return rejection{failure::rate_limited, decision.retry_after};
+    co_return rejection{failure::rate_limited, decision.retry_after};
 }
 
 caller::acquire_result request_rules::acquire(const request_summary& request, const admission& admitted,
--- a/packages/edge/request_rules.h
+++ b/packages/edge/request_rules.h
@@ -43,8 +43,11 @@
 class request_rules
 {
 public:
+    // Asks the fleet for a token of the workspace's limit.
+    using token_hook = std::function<boost::asio::awaitable<quota::quota_decision>(std::string workspace)>;
+
     request_rules(request_rule_options options, const traffic_state& state, upstreams& endpoints,
-                  quota::fleet_quota& limits, std::function<std::uint32_t()> fleet_size,
+                  quota::fleet_quota& limits, token_hook ask_token, std::function<std::uint32_t()> fleet_size,
                   burn::metrics_registry& metrics);
 
     request_rules(const request_rules&) = delete;
@@ -59,7 +62,7 @@
                                                const routing::route_table& table,
                                                core::boot_clock::duration age,
                                                const routing::workspace*& found) const;
-    std::optional<caller::rejection> admit(const caller::admission& admitted, core::instant now);
+    boost::asio::awaitable<std::optional<caller::rejection>> admit(const caller::admission& admitted);
     caller::acquire_result acquire(const caller::request_summary& request, const caller::admission& admitted,
                                    const std::vector<std::string>& tried, core::instant now);
     std::optional<caller::rejection> recheck(const caller::request_summary& request,
@@ -73,12 +76,15 @@
     const traffic_state& m_state;
     upstreams& m_endpoints;
     quota::fleet_quota& m_limits;
+    token_hook m_ask_token;
     std::function<std::uint32_t()> m_fleet_size;
     routing::traffic_split m_split;
     burn::counter& m_relayed;
     burn::counter& m_retries;
     burn::counter& m_retries_refused;
     burn::counter& m_malformed;
+    burn::counter& m_tokens_granted;
+    burn::counter& m_tokens_refused;
     burn::summary& m_latency;
     // By failure; resolved at construction so that the request path does not look them up.
     std::vector<burn::counter*> m_failures;
--- a/packages/edge/roster.cpp
+++ b/packages/edge/roster.cpp
@@ -120,28 +120,48 @@
     return is_changed;
 }
 
-std::vector<instance_record> roster::collectors(core::instant now) const
+std::vector<std::string> roster::choose_collectors(core::instant now) const
 {
-    const std::lock_guard<std::mutex> guard(m_guard);
-    std::vector<instance_record> result;
-    std::size_t chosen = 0;
+    std::vector<std::string> result;
     for (const std::string& name : m_collector_order) {
-        if (chosen == collector_count) {
+        if (result.size() == collector_count) {
             break;
         }
-        if (name == m_options.own_instance) {
-            ++chosen;
-            continue;
+        if (name == m_options.own_instance || is_usable(name, m_members.find(name)->second, now)) {
+            result.push_back(name);
         }
-        const member& candidate = m_members.find(name)->second;
-        if (is_usable(name, candidate, now)) {
-            ++chosen;
-            result.push_back(candidate.record);
+    }
+    return result;
+}
+
+std::vector<instance_record> roster::collectors(core::instant now) const
+{
+    const std::lock_guard<std::mutex> guard(m_guard);
+    std::vector<instance_record> result;
+    for (const std::string& name : choose_collectors(now)) {
+        if (name != m_options.own_instance) {
+            result.push_back(m_members.find(name)->second.record);
         }
     }
     return result;
 }
 
+std::vector<std::optional<instance_record>> roster::granters(const std::string& workspace,
+                                                             core::instant now) const
+{
+    const std::lock_guard<std::mutex> guard(m_guard);
+    std::vector<std::string> chosen = choose_collectors(now);
+    const std::size_t first = core::stable_hash(workspace, collector_seed) % chosen.size();
+    std::rotate(chosen.begin(), chosen.begin() + static_cast<std::ptrdiff_t>(first), chosen.end());
+    std::vector<std::optional<instance_record>> result;
+    for (const std::string& name : chosen) {
+        const bool is_own = name == m_options.own_instance;
+        result.push_back(is_own ? std::nullopt
+                                : std::optional<instance_record>(m_members.find(name)->second.record));
+    }
+    return result;
+}
+
 bool roster::is_silent_sender(const std::string& name, const member& candidate, core::instant now) const
 {
     // Only collectors hear from everyone; the others hear from collectors.
--- a/packages/edge/roster.h
+++ b/packages/edge/roster.h
@@ -54,6 +54,10 @@
     // The instances to which this one sends its messages. Every instance with the same view of the fleet
     // chooses the same two; one that does not answer is passed over.
     std::vector<instance_record> collectors(core::instant now) const;
+    // The collectors that may grant the reserve of a workspace's limit, in the order in which they are asked.
+    // Without a record if it is this instance.
+    std::vector<std::optional<instance_record>> granters(const std::string& workspace,
+                                                         core::instant now) const;
     // The instances that should send to this one, were heard before and are silent now.
     std::set<std::string, std::less<>> silent_senders(core::instant now) const;
     // Whether the store lists the instance.
@@ -83,6 +87,8 @@
         std::set<std::string, std::less<>> silent;
     };
 
+    // The names of those collectors, this instance included if it is one.
+    std::vector<std::string> choose_collectors(core::instant now) const;
     void update_collectors();
     bool is_first_in_order(const std::string& name) const;
     bool is_silent_sender(const std::string& name, const member& candidate, core::instant now) const;
--- a/packages/edge/tests/control_feeds_test.cpp
+++ b/packages/edge/tests/control_feeds_test.cpp
@@ -68,16 +68,18 @@
     traffic_state state;
     roster instances{{"own", seconds(3), seconds(2)}};
     quota::fleet_quota limits{quota::quota_options{}};
+    quota::shared_reserve reserve{quota::quota_options{}};
     upstreams endpoints{upstream_options{}, [] { return placement::fleet_position{}; }, metrics};
     std::shared_ptr<registration> own =
         registration::create(context.get_executor(), entries, instance_record{}, {});
     const deployment site = make_site();
     const instance_options options = make_options();
     int configured = 0;
-    control_feeds feeds{
-        context.get_executor(), entries, site, options, {state, endpoints, instances, limits, *own, [this] {
-                                                             ++configured;
-                                                         }}};
+    control_feeds feeds{context.get_executor(),
+                        entries,
+                        site,
+                        options,
+                        {state, endpoints, instances, limits, reserve, *own, [this] { ++configured; }}};
 
     // Runs the feeds until the condition holds; the bound only ends a test that hangs.
     bool run_until(const std::function<bool()>& is_reached)
--- a/packages/edge/tests/edge_test.cpp
+++ b/packages/edge/tests/edge_test.cpp
@@ -78,6 +78,16 @@
     DOUBLES_EQUAL(40.5, answer.sums.rates.at("mill"), 1e-9);
     CHECK(answer.silent == sums.silent);
 
+    const token_request_message request = std::get<token_request_message>(
+        parse_peer_message(to_text(token_request_message{"a", 9, "mill"}), "t"));
+    CHECK_EQUAL(std::string("mill"), request.workspace);
+    CHECK_EQUAL(9U, request.number);
+    const token_answer_message token = std::get<token_answer_message>(
+        parse_peer_message(to_text(token_answer_message{9, true, milliseconds(40)}), "t"));
+    CHECK_EQUAL(9U, token.number);
+    CHECK_TRUE(token.is_granted);
+    CHECK(token.retry_after == milliseconds(40));
+
     for (const char* text : {"", "{}", "{\"method\":\"other\",\"params\":{}}",
                              "{\"method\":\"demand\",\"params\":{\"instance\":\"a\",\"sequence\":1,\"rates\":"
                              "{\"x\":-5}}}",
@@ -139,6 +149,16 @@
             CHECK_TRUE(record.instance == name || both.contains(record.instance));
         }
     }
+    // The reserve of a workspace is granted by one of them, whoever asks.
+    roster other{{"c", seconds(3), seconds(2)}};
+    for (const std::string& member : all) {
+        other.put(make_instance(member, "savo"), start);
+    }
+    for (const char* workspace : {"hat", "cap", "mill"}) {
+        const std::optional<instance_record> here = instances.granters(workspace, start).front();
+        const std::optional<instance_record> there = other.granters(workspace, start).front();
+        CHECK_EQUAL(here ? here->instance : "own", there ? there->instance : "c");
+    }
     const std::string first = chosen[0].instance;
     instances.record_heard(first, start);
     for (const instance_record& record : instances.collectors(start + seconds(4))) {
@@ -195,7 +215,8 @@
         options.retry_share = 0.2;
         options.retry_slack = 10;
         rules = std::make_unique<request_rules>(
-            options, state, endpoints, limits, [] { return 2U; }, metrics);
+            options, state, endpoints, limits, [this](std::string) { return answer_token(); },
+            [] { return 2U; }, metrics);
         hooks = rules->hooks();
     }
 
@@ -248,6 +269,16 @@
         return rejected == nullptr ? std::nullopt : std::optional<dispatch::failure>(rejected->at);
     }
 
+    // What the fleet answers to a request for a token.
+    bool is_token_granted = false;
+
+    boost::asio::awaitable<quota::quota_decision> answer_token() const
+    {
+        quota::quota_decision result;
+        result.is_admitted = is_token_granted;
+        co_return result;
+    }
+
     caller::admission admit(std::string_view target) const
     {
         return std::get<caller::admission>(hooks.begin(request(target), start));
@@ -348,6 +379,25 @@
     CHECK(begin(request("/open/a")) == dispatch::failure::stopping);
 }
 
+// Guards against a rejection although the fleet has a token left, and against one that is served without any.
+TEST(rules, a_request_without_a_token_asks_the_fleet)
+{
+    configure(make_configuration(1), milliseconds(0));
+    limits.set_limits({{"harbour", 0.001, 0}}, start);
+    const caller::admission admitted = admit("/keyed/a");
+    const std::function<bool()> is_rejected = [&] {
+        boost::asio::io_context context;
+        caller::wait_context wait;
+        std::future<std::optional<caller::rejection>> result =
+            boost::asio::co_spawn(context, hooks.admit(admitted, wait), boost::asio::use_future);
+        context.run();
+        return result.get().has_value();
+    };
+    CHECK_TRUE(is_rejected());
+    is_token_granted = true;
+    CHECK_FALSE(is_rejected());
+}
+
 // Guards against a send to a draining endpoint, and against a rejection that leaves the caller without a
 // time.
 TEST(rules, a_draining_endpoint_receives_nothing)
--- a/packages/quota/fleet_quota.cpp
+++ b/packages/quota/fleet_quota.cpp
@@ -28,6 +28,24 @@
 
 } // namespace
 
+double burst_of(const workspace_limit& limit, const quota_options& options)
+{
+    const double in_window = limit.rate * core::to_seconds(options.window) + limit.burst;
+    return limit.burst +
+           options.tolerance_use * (options.tolerated_share * in_window + options.tolerated_requests);
+}
+
+double shared_part_of(const workspace_limit& limit, std::size_t fleet_size, const quota_options& options)
+{
+    const double size = static_cast<double>(std::max<std::size_t>(fleet_size, 1));
+    if (size > burst_of(limit, options)) {
+        return 0;
+    }
+    const double span = options.shared_part - options.least_shared_part;
+    const double position = std::min(limit.rate / size / options.shared_rate, 1.0);
+    return options.least_shared_part + span * position;
+}
+
 double share_of_limit(double own_demand, double others_demand, std::size_t reporters, std::size_t fleet_size,
                       double floor_share)
 {
@@ -113,12 +131,10 @@
 
 void fleet_quota::apply_share(account& target, core::instant now) const
 {
-    const double in_window = target.limit.rate * core::to_seconds(m_options.window) + target.limit.burst;
-    const double tolerated =
-        m_options.tolerance_use * (m_options.tolerated_share * in_window + m_options.tolerated_requests);
+    const double part = target.share * shared_part_of(target.limit, m_fleet_size, m_options);
     // A burst below one token would admit nothing however long the instance waits.
-    const double burst = std::max((target.limit.burst + tolerated) * target.share, 1.0);
-    target.bucket.set(target.limit.rate * target.share, burst, now);
+    const double burst = part > 0 ? std::max(burst_of(target.limit, m_options) * part, 1.0) : 0;
+    target.bucket.set(target.limit.rate * part, burst, now);
 }
 
 quota_decision fleet_quota::admit(std::string_view workspace, core::instant now)
--- a/packages/quota/fleet_quota.h
+++ b/packages/quota/fleet_quota.h
@@ -32,6 +32,11 @@
     // Part of its even share that an instance keeps whatever its demand is, for the first requests of a
     // workspace that it has not seen.
     double floor_share = 0.3;
+    // Part of a limit that is divided into shares; the rest is granted by request. It shrinks for limits of
+    // less than the rate for each instance, whose requests seldom find the token of their instance.
+    double shared_part = 0.6;
+    double least_shared_part = 0.2;
+    double shared_rate = 0.5;
     core::duration demand_time_constant = std::chrono::milliseconds(1000);
     // Sequence of the first report; higher than those of earlier starts of the instance.
     std::uint64_t first_report = 1;
@@ -56,6 +61,13 @@
     double demand = 0;
 };
 
+// Returns the burst of a workspace over the whole fleet, with the used part of the tolerance.
+double burst_of(const workspace_limit& limit, const quota_options& options);
+
+// Returns the part of a limit that is divided into shares in a fleet of the size. It is zero if one token for
+// each instance would be more than the burst.
+double shared_part_of(const workspace_limit& limit, std::size_t fleet_size, const quota_options& options);
+
 // Returns the part of a limit, from 0 to 1, that an instance may use. The demand of the other reporters is
 // summed; a fleet of the given size has further instances that did not report.
 double share_of_limit(double own_demand, double others_demand, std::size_t reporters, std::size_t fleet_size,
--- a/packages/quota/tests/quota_test.cpp
+++ b/packages/quota/tests/quota_test.cpp
@@ -2,6 +2,7 @@
 
 #include "quota/demand_collector.h"
 #include "quota/fleet_quota.h"
+#include "quota/shared_reserve.h"
 
 #include <CppUTest/TestHarness.h>
 
@@ -44,6 +45,7 @@
         for (std::size_t index = 0; index < size; ++index) {
             m_names.push_back("i" + std::to_string(index));
             m_quotas.push_back(nullptr);
+            m_reserves.push_back(nullptr);
             m_collectors.emplace_back(milliseconds(1500));
         }
         for (std::size_t index = 0; index < size; ++index) {
@@ -59,6 +61,9 @@
         m_quotas[index]->set_limits({{"hat", m_rate, m_burst}}, now);
         m_quotas[index]->set_fleet_size(m_names.size(), now);
         m_collectors[index] = demand_collector(milliseconds(1500));
+        m_reserves[index] = std::make_unique<shared_reserve>(options);
+        m_reserves[index]->set_limits({{"hat", m_rate, m_burst}}, now);
+        m_reserves[index]->set_fleet_size(m_names.size(), now);
     }
 
     // The first two instances collect. A cut instance neither sends nor receives.
@@ -93,11 +98,24 @@
         for (const std::unique_ptr<fleet_quota>& entry : m_quotas) {
             entry->set_limits({{"hat", rate, burst}}, now);
         }
+        for (const std::unique_ptr<shared_reserve>& entry : m_reserves) {
+            entry->set_limits({{"hat", rate, burst}}, now);
+        }
     }
 
-    bool admit(std::size_t index, core::instant now)
+    // Without an own token, the first collector that can be reached is asked.
+    bool admit(std::size_t index, core::instant now, const std::vector<bool>& cut = {})
     {
-        return m_quotas[index]->admit("hat", now).is_admitted;
+        if (m_quotas[index]->admit("hat", now).is_admitted) {
+            return true;
+        }
+        for (const std::size_t collector : {0U, 1U}) {
+            const bool is_reached = collector == index || cut.empty() || (!cut[index] && !cut[collector]);
+            if (is_reached) {
+                return m_reserves[collector]->grant("hat", now).is_admitted;
+            }
+        }
+        return false;
     }
 
 private:
@@ -122,6 +140,7 @@
     std::vector<std::string> m_names;
     std::vector<std::unique_ptr<fleet_quota>> m_quotas;
     std::vector<demand_collector> m_collectors;
+    std::vector<std::unique_ptr<shared_reserve>> m_reserves;
 };
 
 struct window_sum {
@@ -195,7 +214,7 @@
             for (int request = 0; request < 3; ++request) {
                 const std::size_t favourite = static_cast<std::size_t>(step / 700) % 7;
                 const std::size_t target = random() % 3 == 0 ? random() % 7 : favourite;
-                if (instances.admit(target, now)) {
+                if (instances.admit(target, now, cut)) {
                     sum.add(now);
                 }
             }
@@ -294,6 +313,42 @@
     DOUBLES_EQUAL(0.25, limits.admit("hat", start + seconds(3)).share, 1e-9);
 }
 
+// Guards against rejections of a small workspace whose requests are spread so thinly over many instances that
+// they keep to no share.
+TEST(quota, a_small_workspace_on_many_instances_is_served)
+{
+    for (const std::size_t size : {36U, 300U}) {
+        fleet instances(size);
+        instances.set_limit(20, 20, start);
+        const std::vector<bool> connected(size, false);
+        std::mt19937 random(3);
+        int offered = 0;
+        int rejected = 0;
+        window_sum sum;
+        for (int step = 0; step < 4000; ++step) {
+            const core::instant now = start + milliseconds(10 * step);
+            if (step % 50 == 0) {
+                instances.exchange(now, connected);
+            }
+            if (step % 20 == 0) {
+                instances.rebalance(now);
+            }
+            // Five eighths of the rate, at random times.
+            if (step > 500 && random() % 1000 < 125) {
+                ++offered;
+                const bool is_admitted = instances.admit(random() % size, now);
+                rejected += is_admitted ? 0 : 1;
+                if (is_admitted) {
+                    sum.add(now);
+                }
+            }
+        }
+        CHECK(offered > 350);
+        CHECK(rejected * 100 <= offered);
+        CHECK(static_cast<double>(sum.most) <= bound(20, 20));
+    }
+}
+
 // Guards against an instance that grants again after a restart what its predecessor granted.
 TEST(quota, a_bucket_starts_empty)
 {
