--- a/packages/edge/request_rules.cpp
+++ b/packages/edge/request_rules.cpp
@@ -190,6 +190,9 @@
     if (asked.is_admitted) {
         co_return std::nullopt;
     }
+    // A limit that is not divided into shares has no bucket here that could tell.
+    const core::duration retry_after =
+        decision.retry_after > core::duration(0) ? decision.retry_after : asked.retry_after;
     core::info_event("rate_limited")
         .with("request_id", context_of(admitted).request_id)
         .with("workspace", admitted.workspace)
@@ -197,8 +200,8 @@
         .with("share_permille", static_cast<int>(decision.share * 1000))
         .with("demand_per_s", static_cast<int>(decision.demand))
         .with("asked_ms", core::to_milliseconds(current_time() - now))
-        .with("retry_after_ms", core::to_milliseconds(decision.retry_after));
-    co_return rejection{failure::rate_limited, decision.retry_after};
+        .with("retry_after_ms", core::to_milliseconds(retry_after));
+    co_return rejection{failure::rate_limited, retry_after};
 }
 
 caller::acquire_result request_rules::acquire(const request_summary& request, const admission& admitted,
--- a/packages/edge/tests/edge_test.cpp
+++ b/packages/edge/tests/edge_test.cpp
@@ -276,6 +276,7 @@
     {
         quota::quota_decision result;
         result.is_admitted = is_token_granted;
+        result.retry_after = milliseconds(70);
         co_return result;
     }
 
@@ -385,17 +386,24 @@
     configure(make_configuration(1), milliseconds(0));
     limits.set_limits({{"harbour", 0.001, 0}}, start);
     const caller::admission admitted = admit("/keyed/a");
-    const std::function<bool()> is_rejected = [&] {
+    const std::function<std::optional<caller::rejection>()> decide = [&] {
         boost::asio::io_context context;
         caller::wait_context wait;
         std::future<std::optional<caller::rejection>> result =
             boost::asio::co_spawn(context, hooks.admit(admitted, wait), boost::asio::use_future);
         context.run();
-        return result.get().has_value();
+        return result.get();
     };
-    CHECK_TRUE(is_rejected());
+    const std::optional<caller::rejection> rejected = decide();
+    CHECK_TRUE(rejected.has_value());
+    CHECK(rejected->at == dispatch::failure::rate_limited);
     is_token_granted = true;
-    CHECK_FALSE(is_rejected());
+    CHECK_FALSE(decide().has_value());
+    // Two instances share no limit whose burst is below two tokens, so only the answer tells when to come
+    // back.
+    limits.set_fleet_size(2, start);
+    is_token_granted = false;
+    CHECK(decide()->retry_after == milliseconds(70));
 }
 
 // Guards against a send to a draining endpoint, and against a rejection that leaves the caller without a
