Edge: Separate the requests for tokens from the exchange of demand

One class had two jobs. The requests for tokens have tests of their own now: a silent collector, a rejection, the own reserve, a late answer.

--- a/packages/edge/demand_exchange.cpp
+++ b/packages/edge/demand_exchange.cpp
@@ -10,8 +10,6 @@
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
-#include <algorithm>
-
 namespace quetzalspan::edge
 {
 
@@ -24,11 +22,6 @@
 // Reports that arrive late or were lost once still count.
 constexpr int report_lifetime_intervals = 3;
 
-// Two round trips between regions; a request that waits longer has lost more than its retry would cost.
-constexpr core::duration token_wait = std::chrono::milliseconds(60);
-// A rejection without a time is not asked about again at once.
-constexpr core::duration least_exhausted_time = std::chrono::milliseconds(20);
-
 } // namespace
 
 demand_exchange::demand_exchange(const asio::any_io_executor& executor, std::string own_instance,
@@ -95,7 +88,7 @@
     }
 }
 
-void demand_exchange::send_text(const std::string& text, const udp::endpoint& target)
+bool demand_exchange::send_text(const std::string& text, const udp::endpoint& target)
 {
     boost::system::error_code error;
     m_socket.send_to(asio::buffer(text), target, 0, error);
@@ -104,21 +97,27 @@
             .with("peer", target.address().to_string())
             .with("error", error.message());
     }
+    return !error;
+}
+
+bool demand_exchange::send(const instance_record& target, const std::string& text)
+{
+    boost::system::error_code error;
+    const asio::ip::address address = asio::ip::make_address(target.peers.host, error);
+    if (error) {
+        core::warning_event("peer_address_rejected")
+            .with("peer", target.instance)
+            .with("address", target.peers.host);
+        return false;
+    }
+    return send_text(text, udp::endpoint(address, target.peers.port));
 }
 
 void demand_exchange::send_report(const quota::demand_report& report)
 {
     const std::string text = to_text(demand_report_message{m_own_instance, report});
     for (const instance_record& collector : m_hooks.collectors()) {
-        boost::system::error_code error;
-        const asio::ip::address address = asio::ip::make_address(collector.peers.host, error);
-        if (error) {
-            core::warning_event("peer_address_rejected")
-                .with("peer", collector.instance)
-                .with("address", collector.peers.host);
-            continue;
-        }
-        send_text(text, udp::endpoint(address, collector.peers.port));
+        send(collector, text);
     }
 }
 
@@ -158,7 +157,7 @@
         } else if (const token_request_message* wanted = std::get_if<token_request_message>(&message)) {
             handle_token_request(*wanted, sender);
         } else {
-            handle_token_answer(std::get<token_answer_message>(message));
+            m_hooks.on_token_answer(std::get<token_answer_message>(message));
         }
     } catch (const core::findings_error& error) {
         core::warning_event("peer_message_rejected")
@@ -195,78 +194,9 @@
     if (!m_hooks.is_member(message.instance)) {
         return;
     }
-    const quota::quota_decision decision = grant_token(message.workspace);
+    const quota::quota_decision decision = m_hooks.grant(message.workspace);
     send_text(to_text(token_answer_message{message.number, decision.is_admitted, decision.retry_after}),
               sender);
 }
 
-void demand_exchange::handle_token_answer(const token_answer_message& message)
-{
-    const std::map<std::uint64_t, std::shared_ptr<pending_request>>::const_iterator found =
-        m_pending.find(message.number);
-    if (found != m_pending.end()) {
-        found->second->answer = message;
-        found->second->limit.cancel();
-    }
-}
-
-quota::quota_decision demand_exchange::grant_token(const std::string& workspace)
-{
-    const std::size_t reporters = m_collector.reporters().size() + 1;
-    return 2 * reporters > m_hooks.fleet_size() ? m_hooks.grant(workspace) : quota::quota_decision{};
-}
-
-asio::awaitable<std::optional<token_answer_message>>
-demand_exchange::ask_collector(const instance_record& collector, const std::string& workspace)
-{
-    boost::system::error_code error;
-    const asio::ip::address address = asio::ip::make_address(collector.peers.host, error);
-    if (error) {
-        core::warning_event("peer_address_rejected")
-            .with("peer", collector.instance)
-            .with("address", collector.peers.host);
-        co_return std::nullopt;
-    }
-    const std::shared_ptr<pending_request> pending =
-        std::make_shared<pending_request>(pending_request{asio::steady_timer(m_timer.get_executor()), {}});
-    const std::uint64_t number = m_next_request++;
-    m_pending.emplace(number, pending);
-    send_text(to_text(token_request_message{m_own_instance, number, workspace}),
-              udp::endpoint(address, collector.peers.port));
-    pending->limit.expires_after(token_wait);
-    co_await pending->limit.async_wait(asio::redirect_error(asio::use_awaitable, error));
-    m_pending.erase(number);
-    co_return pending->answer;
-}
-
-asio::awaitable<quota::quota_decision> demand_exchange::ask_token(std::string workspace)
-{
-    quota::quota_decision result;
-    const core::instant now = std::chrono::steady_clock::now();
-    const core::instant exhausted_until = m_exhausted_until[workspace];
-    if (now < exhausted_until) {
-        result.retry_after = exhausted_until - now;
-        co_return result;
-    }
-    for (const std::optional<instance_record>& collector : m_hooks.granters(workspace)) {
-        if (!collector) {
-            co_return grant_token(workspace);
-        }
-        const std::optional<token_answer_message> answer = co_await ask_collector(*collector, workspace);
-        if (answer) {
-            result.is_admitted = answer->is_granted;
-            result.retry_after = answer->retry_after;
-            break;
-        }
-        core::info_event("token_not_answered")
-            .with("workspace", workspace)
-            .with("collector", collector->instance);
-    }
-    if (!result.is_admitted) {
-        m_exhausted_until[workspace] =
-            std::chrono::steady_clock::now() + std::max(result.retry_after, least_exhausted_time);
-    }
-    co_return result;
-}
-
 } // namespace quetzalspan::edge
--- a/packages/edge/demand_exchange.h
+++ b/packages/edge/demand_exchange.h
@@ -16,7 +16,6 @@
 #include <functional>
 #include <map>
 #include <memory>
-#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -40,13 +39,10 @@
         std::function<void(const std::string& instance)> on_heard;
         // Called for sums of another collector and for the own ones.
         std::function<void(const demand_sums_message&)> on_sums;
-        // The collectors that may grant the reserve of the workspace, in the order in which they are asked;
-        // without a record if it is this instance.
-        std::function<std::vector<std::optional<instance_record>>(const std::string& workspace)> granters;
-        // The number of instances of the fleet, this one included.
-        std::function<std::size_t()> fleet_size;
-        // Takes a token of the own reserve.
+        // Decides about a token of the own reserve for a member.
         std::function<quota::quota_decision(const std::string& workspace)> grant;
+        // Called for the answer to an own request for a token.
+        std::function<void(const token_answer_message&)> on_token_answer;
     };
 
     // Binds the numeric address. Throws boost::system::system_error if it cannot.
@@ -61,8 +57,11 @@
     void start();
     void stop();
 
-    // Asks for a token of the workspace's reserve. Waits a limited time for the answer of each collector.
-    boost::asio::awaitable<quota::quota_decision> ask_token(std::string workspace);
+    // Sends a message to an instance. Returns whether it was sent, which does not mean that it arrives.
+    bool send(const instance_record& target, const std::string& text);
+
+    // The instances that reported here lately.
+    std::size_t reporters() const { return m_collector.reporters().size(); }
 
     // A sequence that is higher than those of earlier starts: the time of day in milliseconds.
     static std::uint64_t sequence_of_start();
@@ -75,26 +74,13 @@
     boost::asio::awaitable<void> receive_messages();
     void send_report(const quota::demand_report& report);
     void send_sums(const quota::demand_report& own, core::instant now);
-    void send_text(const std::string& text, const boost::asio::ip::udp::endpoint& target);
+    bool send_text(const std::string& text, const boost::asio::ip::udp::endpoint& target);
     void handle(std::string_view text, const boost::asio::ip::udp::endpoint& sender, core::instant now);
     void handle_report(demand_report_message message, const boost::asio::ip::udp::endpoint& sender,
                        core::instant now);
     void handle_sums(const demand_sums_message& message);
-    // Takes a token of the own reserve. Only an instance that most others report to may grant, so that of two
-    // parts of a divided fleet at most one uses the reserve.
-    quota::quota_decision grant_token(const std::string& workspace);
-    boost::asio::awaitable<std::optional<token_answer_message>>
-    ask_collector(const instance_record& collector, const std::string& workspace);
     void handle_token_request(const token_request_message& message,
                               const boost::asio::ip::udp::endpoint& sender);
-    void handle_token_answer(const token_answer_message& message);
-
-    // A request for a token that waits for its answer.
-    struct pending_request {
-        boost::asio::steady_timer limit;
-        std::optional<token_answer_message> answer;
-    };
-
     static constexpr std::size_t datagram_limit_bytes = 16 * 1024;
 
     boost::asio::ip::udp::socket m_socket;
@@ -108,10 +94,6 @@
     std::uint64_t m_sequence = 0;
     // The newest sequence of each collector.
     std::map<std::string, std::uint64_t> m_seen_sums;
-    std::uint64_t m_next_request = 0;
-    std::map<std::uint64_t, std::shared_ptr<pending_request>> m_pending;
-    // By workspace, until when a collector has nothing to grant.
-    std::map<std::string, core::instant> m_exhausted_until;
     std::array<char, datagram_limit_bytes> m_received{};
 };
 
--- a/packages/edge/instance.cpp
+++ b/packages/edge/instance.cpp
@@ -145,6 +145,11 @@
     feed_targets targets{m_state, m_upstreams, m_roster, m_limits, m_reserve, *m_registration, {}};
     targets.on_configured = [this] { core::info_event("ready").with("instance", m_options.instance); };
     m_feeds = std::make_unique<control_feeds>(executor, m_store, m_site, m_options, std::move(targets));
+    create_peer_messages(executor);
+}
+
+void instance::create_peer_messages(const asio::any_io_executor& executor)
+{
     demand_exchange::hooks hooks;
     hooks.collectors = [this] { return m_roster.collectors(current_time()); };
     hooks.is_member = [this](const std::string& name) { return m_roster.is_member(name); };
@@ -162,13 +167,28 @@
                 .with("reporters", message.sums.reporters);
         }
     };
-    hooks.granters = [this](const std::string& workspace) {
-        return m_roster.granters(workspace, current_time());
-    };
-    hooks.fleet_size = [this] { return m_roster.size(); };
-    hooks.grant = [this](const std::string& workspace) { return m_reserve.grant(workspace, current_time()); };
+    hooks.grant = [this](const std::string& workspace) { return grant_token(workspace); };
+    hooks.on_token_answer = [this](const token_answer_message& answer) { m_tokens->handle(answer); };
     m_demand = demand_exchange::create(executor, m_options.instance, m_options.peers,
                                        m_options.demand_interval, std::move(hooks));
+
+    token_requests::hooks token_hooks;
+    token_hooks.granters = [this](const std::string& workspace) {
+        return m_roster.granters(workspace, current_time());
+    };
+    token_hooks.send = [this](const instance_record& target, const std::string& text) {
+        return m_demand->send(target, text);
+    };
+    token_hooks.grant = [this](const std::string& workspace) { return grant_token(workspace); };
+    m_tokens = std::make_unique<token_requests>(executor, m_options.instance, std::move(token_hooks));
+}
+
+quota::quota_decision instance::grant_token(const std::string& workspace)
+{
+    if (2 * (m_demand->reporters() + 1) <= m_roster.size()) {
+        return {};
+    }
+    return m_reserve.grant(workspace, current_time());
 }
 
 void instance::add_interface(const socket_address& address, http::request_handler handler)
@@ -247,8 +267,8 @@
 
 asio::awaitable<quota::quota_decision> instance::ask_token(std::string workspace)
 {
-    const quota::quota_decision result = co_await asio::co_spawn(
-        m_control_context, m_demand->ask_token(std::move(workspace)), asio::use_awaitable);
+    const quota::quota_decision result =
+        co_await asio::co_spawn(m_control_context, m_tokens->ask(std::move(workspace)), asio::use_awaitable);
     co_return result;
 }
 
--- a/packages/edge/instance.h
+++ b/packages/edge/instance.h
@@ -9,6 +9,7 @@
 #include "edge/deployment.h"
 #include "edge/instance_options.h"
 #include "edge/request_rules.h"
+#include "edge/token_requests.h"
 #include "http/server.h"
 #include "quota/shared_reserve.h"
 #include "upstream/connection_pool.h"
@@ -59,6 +60,10 @@
     void add_metrics();
     void await_signal();
     void handle_signal(int signal);
+    void create_peer_messages(const boost::asio::any_io_executor& executor);
+    // Takes a token of the own reserve. Only an instance that most others report to may grant, so that of two
+    // parts of a divided fleet at most one uses the reserve.
+    quota::quota_decision grant_token(const std::string& workspace);
     // Runs on the thread of a request.
     boost::asio::awaitable<quota::quota_decision> ask_token(std::string workspace);
     boost::asio::awaitable<void> tick();
@@ -86,6 +91,7 @@
     std::shared_ptr<registration> m_registration;
     std::unique_ptr<control_feeds> m_feeds;
     std::shared_ptr<demand_exchange> m_demand;
+    std::unique_ptr<token_requests> m_tokens;
     std::shared_ptr<caller::proxy_server> m_callers;
     std::vector<std::shared_ptr<http::server>> m_interfaces;
     std::function<void()> m_on_reload;
--- /dev/null
+++ b/packages/edge/tests/token_requests_test.cpp
@@ -0,0 +1,103 @@
+// Tests of how tokens are asked for when collectors answer, reject or are silent.
+
+#include "edge/token_requests.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/use_future.hpp>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace quetzalspan;
+using namespace edge;
+using std::chrono::milliseconds;
+
+TEST_GROUP(token_requests)
+{
+    boost::asio::io_context context;
+    // The names of the collectors that were asked, in order.
+    std::vector<std::string> asked;
+    std::vector<std::optional<instance_record>> granters;
+    // The answers of collectors by name; one that is missing is silent.
+    std::map<std::string, token_answer_message> answers;
+    bool is_own_granted = false;
+    token_requests requests{context.get_executor(), "own", make_hooks()};
+
+    token_requests::hooks make_hooks()
+    {
+        token_requests::hooks hooks;
+        hooks.granters = [this](const std::string&) { return granters; };
+        hooks.send = [this](const instance_record& target, const std::string& text) {
+            asked.push_back(target.instance);
+            const std::map<std::string, token_answer_message>::const_iterator answer =
+                answers.find(target.instance);
+            if (answer != answers.end()) {
+                token_answer_message sent = answer->second;
+                sent.number = std::get<token_request_message>(parse_peer_message(text, "test")).number;
+                boost::asio::post(context, [this, sent] { requests.handle(sent); });
+            }
+            return true;
+        };
+        hooks.grant = [this](const std::string&) {
+            quota::quota_decision decision;
+            decision.is_admitted = is_own_granted;
+            return decision;
+        };
+        return hooks;
+    }
+
+    static instance_record collector(const std::string& name)
+    {
+        instance_record result;
+        result.instance = name;
+        return result;
+    }
+
+    quota::quota_decision ask()
+    {
+        std::future<quota::quota_decision> result =
+            boost::asio::co_spawn(context, requests.ask("mill"), boost::asio::use_future);
+        context.restart();
+        context.run();
+        return result.get();
+    }
+};
+
+// Guards against a workspace that is rejected as long as a dead collector is listed.
+TEST(token_requests, a_silent_collector_is_followed_by_the_other)
+{
+    granters = {collector("a"), collector("b")};
+    answers["b"] = {0, true, milliseconds(0)};
+    CHECK_TRUE(ask().is_admitted);
+    CHECK(asked == (std::vector<std::string>{"a", "b"}));
+}
+
+// Guards against asking a second collector for what the first one rejected, and against asking again at once.
+TEST(token_requests, a_rejection_is_final_and_remembered)
+{
+    granters = {collector("a"), collector("b")};
+    answers["a"] = {0, false, std::chrono::seconds(30)};
+    const quota::quota_decision rejected = ask();
+    CHECK_FALSE(rejected.is_admitted);
+    CHECK(rejected.retry_after == std::chrono::seconds(30));
+    CHECK_FALSE(ask().is_admitted);
+    CHECK(asked == (std::vector<std::string>{"a"}));
+}
+
+// Guards against a collector that sends messages to itself.
+TEST(token_requests, the_own_reserve_is_used_directly)
+{
+    granters = {std::nullopt, collector("b")};
+    is_own_granted = true;
+    CHECK_TRUE(ask().is_admitted);
+    CHECK_TRUE(asked.empty());
+}
+
+// Guards against an answer that comes after its request was given up.
+TEST(token_requests, a_late_answer_is_dropped)
+{
+    granters = {collector("a")};
+    CHECK_FALSE(ask().is_admitted);
+    requests.handle({0, true, milliseconds(0)});
+    CHECK_FALSE(ask().is_admitted);
+}
