Store, Platform: List the entries when watches keep failing

After the cut its watch asked for all changes since, more than fits into the time-out of 0.7 s, again and again; the instance served a route that was removed, six seconds after the path healed.

Ruled out: the path itself; the registration of the same instance succeeded half a second after the cut.

The test failed before the change.

--- a/packages/edge/tests/control_feeds_test.cpp
+++ b/packages/edge/tests/control_feeds_test.cpp
@@ -137,3 +137,16 @@
     CHECK(waits[1] < milliseconds(50));
     CHECK(waits[2] == options.store_watch);
 }
+
+// Guards against an instance that stays behind after an outage because the changes since then are too many
+// for one watch. Seen as an old configuration in force on the users' bench, six seconds after a path to the
+// store healed.
+TEST(control_feeds, entries_are_listed_when_watches_keep_failing)
+{
+    entries->put("operators/configuration", "3");
+    feeds.start();
+    CHECK_TRUE(run_until([this] { return state.table() != nullptr; }));
+    entries->fail_watches();
+    entries->put("operators/configuration", "9");
+    CHECK_TRUE(run_until([this] { return state.table()->version() == 9; }));
+}
--- a/packages/edge/tests/scripted_store.h
+++ b/packages/edge/tests/scripted_store.h
@@ -32,6 +32,8 @@
 
     // The waits that the watches asked for, in order.
     const std::vector<core::duration>& waits() const { return m_waits; }
+    // Watches fail from now on; listings succeed.
+    void fail_watches() { m_is_failing_watches = true; }
     // The prefixes that the watches asked for, in order.
     const std::vector<std::string>& prefixes() const { return m_prefixes; }
 
@@ -55,6 +57,9 @@
         m_waits.push_back(timeout);
         m_prefixes.push_back(prefix);
         check_failure();
+        if (m_is_failing_watches) {
+            throw store::store_unavailable("the test lets watches fail");
+        }
         store::watch_result result;
         result.revision = m_revision;
         std::copy_if(m_changes.begin(), m_changes.end(), std::back_inserter(result.changes),
@@ -90,6 +95,7 @@
 
     std::uint64_t m_revision = 0;
     int m_failing = 0;
+    bool m_is_failing_watches = false;
     std::map<std::string, store::store_entry> m_entries;
     std::vector<store::store_change> m_changes;
     std::vector<core::duration> m_waits;
--- a/packages/store/prefix_mirror.cpp
+++ b/packages/store/prefix_mirror.cpp
@@ -21,6 +21,10 @@
 // The wait of a watch that follows a failed call: the shortest that every store accepts.
 constexpr core::duration catch_up_wait = std::chrono::milliseconds(1);
 
+// After as many failures the entries are listed: the changes of a long outage, with every version of a large
+// entry between, can take longer to receive than a watch is waited for, while the present state stays small.
+constexpr unsigned failures_before_listing = 2;
+
 } // namespace
 
 prefix_mirror::prefix_mirror(asio::any_io_executor executor, std::shared_ptr<key_value_store> client,
@@ -83,7 +87,10 @@
     while (!m_watch_timer.is_stopped()) {
         bool has_failed = !m_is_listed;
         try {
-            if (m_is_listed) {
+            if (m_is_listed && m_failures_in_row >= failures_before_listing) {
+                co_await list_once();
+                m_watched_revision = m_revision;
+            } else if (m_is_listed) {
                 co_await watch_once();
             }
         } catch (const std::exception& error) {
@@ -179,6 +186,7 @@
 
 void prefix_mirror::confirm(core::boot_instant sent)
 {
+    m_failures_in_row = 0;
     if (std::exchange(m_is_failing, false)) {
         core::info_event("store_regained").with("prefix", m_options.prefix).with("revision", m_revision);
     }
@@ -231,6 +239,7 @@
 void prefix_mirror::count_failure(const std::exception& error)
 {
     ++m_statistics.failures;
+    ++m_failures_in_row;
     if (!std::exchange(m_is_failing, true)) {
         core::warning_event("store_lost").with("prefix", m_options.prefix).with("error", error.what());
     }
--- a/packages/store/prefix_mirror.h
+++ b/packages/store/prefix_mirror.h
@@ -93,6 +93,7 @@
     bool m_is_listed = false;
     // Whether the last call failed.
     bool m_is_failing = false;
+    unsigned m_failures_in_row = 0;
     std::uint64_t m_revision = 0;
     // Where the next watch continues; differs from m_revision when a listing was newer than the watch.
     std::uint64_t m_watched_revision = 0;
