Tests: Keep the ports of a test fleet reserved

Cause: the fleet looked up free ports, closed them and bound them again in its processes.

Change: the ports stay bound, without listening, for as long as the fleet exists.

--- a/tests/support/child_process.cpp
+++ b/tests/support/child_process.cpp
@@ -1,10 +1,7 @@
-// Spawns test programs with posix_spawn, sends them signals, collects their exit codes, and finds free ports.
+// Spawns test programs with posix_spawn, sends them signals and collects their exit codes.
 
 #include "tests/support/child_process.h"
 
-#include <boost/asio/io_context.hpp>
-#include <boost/asio/ip/tcp.hpp>
-
 #include <fcntl.h>
 #include <signal.h>
 #include <spawn.h>
@@ -154,17 +151,4 @@
     return text.str();
 }
 
-std::vector<std::uint16_t> find_free_ports(std::size_t count)
-{
-    boost::asio::io_context context;
-    std::vector<boost::asio::ip::tcp::acceptor> acceptors;
-    std::vector<std::uint16_t> ports;
-    const boost::asio::ip::tcp::endpoint any_port(boost::asio::ip::make_address("127.0.0.1"), 0);
-    for (std::size_t index = 0; index < count; ++index) {
-        acceptors.emplace_back(context, any_port);
-        ports.push_back(acceptors.back().local_endpoint().port());
-    }
-    return ports;
-}
-
 } // namespace quetzalspan::tests
--- a/tests/support/child_process.h
+++ b/tests/support/child_process.h
@@ -1,5 +1,4 @@
-// Child processes of a test: starting a program, stopping it with signals and reading its log. Also finds
-// free TCP ports.
+// Child processes of a test: starting a program, stopping it with signals and reading its log.
 
 #pragma once
 
@@ -59,8 +58,4 @@
     std::string m_log_file;
 };
 
-// Returns that many different TCP ports that are free on 127.0.0.1 at the time of the call. Nothing reserves
-// them afterwards, so another process can bind one before the caller does.
-std::vector<std::uint16_t> find_free_ports(std::size_t count);
-
 } // namespace quetzalspan::tests
--- a/tests/support/fleet.cpp
+++ b/tests/support/fleet.cpp
@@ -55,14 +55,17 @@
 
 } // namespace
 
-fleet::fleet(fleet_options options) : m_options(options), m_folder(create_temporary_folder())
+fleet::fleet(fleet_options options)
+    : m_options(options),
+      m_folder(create_temporary_folder()),
+      m_ports(standin_port_count() + 3 * options.instances)
 {
     start_standins();
-    const std::vector<std::uint16_t> ports = find_free_ports(3 * m_options.instances);
+    const std::vector<std::uint16_t>& ports = m_ports.ports();
     for (std::size_t index = 0; index < m_options.instances; ++index) {
-        m_caller_ports.push_back(ports[3 * index]);
-        m_peer_ports.push_back(ports[3 * index + 1]);
-        m_admin_ports.push_back(ports[3 * index + 2]);
+        m_caller_ports.push_back(ports.at(standin_port_count() + 3 * index));
+        m_peer_ports.push_back(ports.at(standin_port_count() + 3 * index + 1));
+        m_admin_ports.push_back(ports.at(standin_port_count() + 3 * index + 2));
         m_store_links.push_back(std::make_unique<network_link>(m_store_port));
     }
     const int code = quetzalctl(
@@ -92,15 +95,15 @@
 
 void fleet::start_standins()
 {
-    const std::vector<std::uint16_t> ports = find_free_ports(m_options.upstreams + 2);
-    m_store_port = ports[0];
-    m_store_control_port = ports[1];
+    const std::vector<std::uint16_t>& ports = m_ports.ports();
+    m_store_port = ports.at(0);
+    m_store_control_port = ports.at(1);
     m_store.push_back(child_process::start(
         program_path("standins/store/standin_store"),
         {"--port=" + std::to_string(m_store_port), "--control_port=" + std::to_string(m_store_control_port)},
         log_file("store")));
     for (std::size_t index = 0; index < m_options.upstreams; ++index) {
-        m_upstream_ports.push_back(ports[index + 2]);
+        m_upstream_ports.push_back(ports.at(index + 2));
         m_upstreams.push_back(
             child_process::start(program_path("standins/upstream/standin_upstream"),
                                  {"--port=" + std::to_string(m_upstream_ports.back()), "--cold_seconds=0",
--- a/tests/support/fleet.h
+++ b/tests/support/fleet.h
@@ -5,6 +5,7 @@
 
 #include "tests/support/child_process.h"
 #include "tests/support/network_link.h"
+#include "tests/support/port_reservation.h"
 
 #include <json/json.h>
 
@@ -108,6 +109,8 @@
     static bool wait_until(const std::function<bool()>& condition);
 
 private:
+    // The ports of the store, of its control interface and of the upstreams.
+    std::size_t standin_port_count() const { return 2 + m_options.upstreams; }
     void start_standins();
     std::string registry_yaml() const;
     std::string rules_yaml() const;
@@ -120,6 +123,8 @@
 
     fleet_options m_options;
     std::string m_folder;
+    // The ports of all processes: first those of the stand-ins, then three for each instance.
+    port_reservation m_ports;
     std::uint16_t m_store_port = 0;
     std::uint16_t m_store_control_port = 0;
     std::vector<std::uint16_t> m_upstream_ports;
