Caller: Drop requests whose callers have left before they are read

In addition, one connection was accepted in each turn, so others waited in the backlog.

Change: a closed connection is looked for when a request has been read and immediately before it is sent, and up to 64 connections are accepted in a turn.

--- a/packages/caller/caller_stream.cpp
+++ b/packages/caller/caller_stream.cpp
@@ -39,7 +39,7 @@
 {
     boost::system::error_code error;
     m_socket.set_option(asio::ip::tcp::no_delay(true), error);
-    // handle_readable() peeks at the socket and must not block. Asynchronous operations do not depend on this
+    // peek() must not block. Asynchronous operations do not depend on this
     // mode.
     m_socket.non_blocking(true, error);
     const asio::ip::tcp::endpoint peer = m_socket.remote_endpoint(error);
@@ -128,14 +128,11 @@
     if (!m_is_watching_disconnect) {
         return;
     }
-    boost::system::error_code error;
-    char byte = 0;
-    const std::size_t size = m_socket.receive(asio::buffer(&byte, 1), asio::socket_base::message_peek, error);
-    if (error == asio::error::would_block) {
+    const peek_result found = peek();
+    if (found == peek_result::nothing) {
         wait_until_readable();
-        return;
     }
-    if (size > 0 && !error) {
+    if (found != peek_result::closed) {
         return;
     }
     m_is_watching_disconnect = false;
@@ -143,6 +140,22 @@
     on_disconnect();
 }
 
+caller_stream::peek_result caller_stream::peek()
+{
+    boost::system::error_code error;
+    char byte = 0;
+    const std::size_t size = m_socket.receive(asio::buffer(&byte, 1), asio::socket_base::message_peek, error);
+    if (error == asio::error::would_block) {
+        return peek_result::nothing;
+    }
+    return size > 0 && !error ? peek_result::bytes : peek_result::closed;
+}
+
+bool caller_stream::has_caller_closed()
+{
+    return peek() == peek_result::closed;
+}
+
 void caller_stream::cancel()
 {
     boost::system::error_code ignored;
--- a/packages/caller/caller_stream.h
+++ b/packages/caller/caller_stream.h
@@ -47,6 +47,11 @@
     void watch_disconnect(std::function<void()> on_disconnect);
     void stop_watching_disconnect();
 
+    // Returns whether the caller has closed its side or the connection has failed. A caller whose next bytes
+    // have not been read yet counts as connected. Unlike watch_disconnect(), this sees a close that arrived
+    // before the present turn of the executor.
+    bool has_caller_closed();
+
     // Cancels pending reads and writes. The connection stays open, so that a response can still be sent.
     void cancel();
 
@@ -72,8 +77,12 @@
 private:
     caller_stream(boost::asio::ip::tcp::socket socket, const proxy_options& options);
 
+    // What is next in the receive buffer of the socket.
+    enum class peek_result { nothing, bytes, closed };
+
     void wait_until_readable();
     void handle_readable();
+    peek_result peek();
 
     boost::asio::ip::tcp::socket m_socket;
     const proxy_options& m_options;
--- a/packages/caller/proxy_server.cpp
+++ b/packages/caller/proxy_server.cpp
@@ -14,6 +14,7 @@
 #include <boost/asio/strand.hpp>
 #include <boost/asio/write.hpp>
 
+#include <limits>
 #include <stdexcept>
 
 namespace quetzalspan::caller
@@ -27,6 +28,9 @@
 {
 
 constexpr std::chrono::milliseconds accept_retry_delay(50);
+// Connections that are accepted in one turn of the executor. With one for each turn, connections wait in the
+// backlog while the instance is busy, and their requests are read long after their callers have given up.
+constexpr std::size_t accept_batch_size = 64;
 constexpr std::size_t request_id_prefix_bytes = 6;
 
 // Counts a request as active for the lifetime of this object.
@@ -92,6 +96,7 @@
             asio::make_strand(m_executor), asio::redirect_error(asio::use_awaitable, error));
         if (!error) {
             serve_accepted(std::move(socket));
+            accept_backlog(accept_batch_size);
         } else if (m_acceptor.is_open()) {
             // The process may be out of file descriptors for a while, which must not end the listener.
             asio::steady_timer pause(m_acceptor.get_executor(), accept_retry_delay);
@@ -105,10 +110,10 @@
     notify_drained_once();
 }
 
-void proxy_server::accept_backlog()
+void proxy_server::accept_backlog(std::size_t limit)
 {
     boost::system::error_code error;
-    while (!error) {
+    for (std::size_t accepted = 0; !error && accepted < limit; ++accepted) {
         asio::ip::tcp::socket socket(asio::make_strand(m_executor));
         m_acceptor.accept(socket, error);
         if (!error) {
@@ -236,7 +241,7 @@
     const std::shared_ptr<proxy_server> self = shared_from_this();
     asio::post(m_acceptor.get_executor(), [self, on_drained = std::move(on_drained)] {
         // Closing the listener would reset the connections that the kernel has already accepted for it.
-        self->accept_backlog();
+        self->accept_backlog(std::numeric_limits<std::size_t>::max());
         boost::system::error_code ignored;
         self->m_acceptor.close(ignored);
         {
--- a/packages/caller/proxy_server.h
+++ b/packages/caller/proxy_server.h
@@ -62,7 +62,8 @@
                  std::shared_ptr<upstream::connection_pool> pool);
 
     boost::asio::awaitable<void> accept_connections();
-    void accept_backlog();
+    // Accepts connections that wait in the backlog, up to the limit.
+    void accept_backlog(std::size_t limit);
     void serve_accepted(boost::asio::ip::tcp::socket socket);
     boost::asio::awaitable<void> serve(std::shared_ptr<caller_stream> stream,
                                        boost::asio::any_io_executor strand);
--- a/packages/caller/request_exchange.cpp
+++ b/packages/caller/request_exchange.cpp
@@ -146,6 +146,12 @@
     }
 }
 
+bool request_exchange::note_caller_closed()
+{
+    m_has_disconnected = m_has_disconnected || m_stream.has_caller_closed();
+    return m_has_disconnected;
+}
+
 asio::awaitable<bool> request_exchange::run()
 {
     std::optional<rejection> cause;
@@ -172,6 +178,9 @@
 
 asio::awaitable<std::optional<rejection>> request_exchange::serve()
 {
+    if (note_caller_closed()) {
+        co_return rejection{failure::caller_disconnected};
+    }
     m_context.budget.record_request();
     std::optional<rejection> cause = route_request(m_summary.received_at);
     if (!cause) {
@@ -360,6 +369,9 @@
             co_return cause;
         }
     }
+    if (note_caller_closed()) {
+        co_return rejection{failure::caller_disconnected};
+    }
     exchange.set_deadline(m_summary.deadline);
     const std::optional<upstream::forward_failure> write_failure = co_await write_request(exchange, lease);
     m_sent_attempts += exchange.has_written() ? 1 : 0;
--- a/packages/caller/request_exchange.h
+++ b/packages/caller/request_exchange.h
@@ -85,6 +85,9 @@
     // Returns whether another attempt may follow, and charges it to the retry budget.
     bool try_grant_retry(dispatch::failure at);
     void handle_disconnect();
+    // Looks whether the caller has left, also if the executor has not reported it yet: while the instance is
+    // overloaded, a request may be read long after its caller has given up. Returns whether it has left.
+    bool note_caller_closed();
     rejection failure_for(upstream::forward_failure at) const;
     static dispatch::failure failure_for(dispatch::response_kind kind);
     dispatch::outcome compute_outcome(const std::optional<rejection>& cause) const;
--- a/packages/caller/tests/outcome_test.cpp
+++ b/packages/caller/tests/outcome_test.cpp
@@ -217,6 +217,33 @@
     LONGS_EQUAL(0, fixture.second->executions());
 }
 
+// Guards against work for callers that have left: an overloaded instance reads requests seconds after they
+// arrived, and sent them to endpoints although their callers had already closed the connection.
+TEST(outcome_table, a_request_whose_caller_has_left_is_not_sent)
+{
+    std::atomic<bool> has_left{true};
+    const std::function<caller::admission_result(const caller::request_summary&, core::instant)> route =
+        fixture.hooks.route_request;
+    fixture.hooks.route_request = [&](const caller::request_summary& request, core::instant now) {
+        // Stands for the time in which an overloaded instance does other work.
+        proxy_fixture::wait_until([&] { return has_left.load(); });
+        return route(request, now);
+    };
+    fixture.start();
+    // Leaves a pooled connection, so that the next request could be sent without any wait.
+    fixture.exchange(make_request("GET", "/orders"));
+    has_left = false;
+    raw_caller caller(fixture.server->port());
+    caller.send(make_request("GET", "/orders"));
+    caller.close();
+    has_left = true;
+    const std::vector<finished_request> records = fixture.wait_for_finished(2);
+    LONGS_EQUAL(2, records.size());
+    CHECK(records.back().failure == dispatch::failure::caller_disconnected);
+    CHECK(records.back().outcome == outcome::not_run);
+    LONGS_EQUAL(1, fixture.first->executions() + fixture.second->executions());
+}
+
 // Guards against sending a request to an upstream although, while it waited, its key was revoked or the
 // instance lost the authority to decide about requests.
 TEST(outcome_table, failed_recheck_prevents_sending)
