Edge: Limit questions for tokens while granters do not answer

Each question waited up to 120 ms, wrote a log line and added to the load of the instances that were to answer.

Change: a workspace is not asked for during 250 ms after no granter has answered, at most 32 requests of a workspace wait at the same time, and lines about missing answers and endpoints are bounded.

--- a/packages/edge/endpoint_balancer.cpp
+++ b/packages/edge/endpoint_balancer.cpp
@@ -16,6 +16,8 @@
 {
 
 constexpr unsigned first_server_error_status = 500;
+// Under overload many requests find no endpoint.
+constexpr double no_endpoint_lines_per_second = 20;
 
 } // namespace
 
@@ -28,6 +30,7 @@
           metrics.get_counter("upstream_spilled_total",
                               "Requests sent to another endpoint than the first choice of their object.")),
       m_ejections(metrics.get_counter("upstream_ejections_total", "Endpoints passed over after failures.")),
+      m_no_endpoint_lines(no_endpoint_lines_per_second),
       m_catalog(m_options.catalog, {log_change, [this](std::string_view service) {
                                         const routing::service* service_config =
                                             m_table ? m_table->find_service(service) : nullptr;
@@ -88,12 +91,7 @@
     const placement::endpoint_selection chosen =
         placement::select_endpoint(m_catalog, criteria, m_position, m_options.choice, now);
     if (!chosen.target) {
-        core::info_event("no_endpoint")
-            .with("request_id", request.request_id)
-            .with("service", *request.service)
-            .with("candidates", chosen.candidates)
-            .with("cause", chosen.fault == placement::endpoint_selection_error::at_capacity ? "all-busy"
-                                                                                            : "none-known");
+        log_no_endpoint(request, chosen, now);
         return caller::rejection{dispatch::failure::no_permit, m_options.busy_retry_after};
     }
     m_spilled.add(chosen.is_spilled ? 1 : 0);
@@ -104,6 +102,22 @@
     return make_lease(chosen.target, request, now);
 }
 
+void endpoint_balancer::log_no_endpoint(const attempt_request& request,
+                                        const placement::endpoint_selection& chosen, core::instant now)
+{
+    const std::optional<std::uint64_t> skipped = m_no_endpoint_lines.try_take(now);
+    if (!skipped) {
+        return;
+    }
+    core::info_event("no_endpoint")
+        .with("request_id", request.request_id)
+        .with("service", *request.service)
+        .with("candidates", chosen.candidates)
+        .with("cause",
+              chosen.fault == placement::endpoint_selection_error::at_capacity ? "all-busy" : "none-known")
+        .with("lines_skipped", *skipped);
+}
+
 caller::endpoint_lease endpoint_balancer::make_lease(const endpoint_pointer& target,
                                                      const attempt_request& request, core::instant now)
 {
--- a/packages/edge/endpoint_balancer.h
+++ b/packages/edge/endpoint_balancer.h
@@ -5,6 +5,7 @@
 
 #include "burn/metrics_registry.h"
 #include "caller/proxy_hooks.h"
+#include "core/log_throttle.h"
 #include "edge/instance_options.h"
 #include "placement/endpoint_health.h"
 #include "placement/endpoint_selection.h"
@@ -84,6 +85,8 @@
 
 private:
     placement::cold_limit compute_cold_limit(const routing::service* service_config) const;
+    void log_no_endpoint(const attempt_request& request, const placement::endpoint_selection& chosen,
+                         core::instant now);
     caller::endpoint_lease make_lease(const placement::endpoint_pointer& target,
                                       const attempt_request& request, core::instant now);
     void release(const placement::endpoint_pointer& target, const std::string& request_id,
@@ -99,6 +102,7 @@
     burn::counter& m_sends;
     burn::counter& m_spilled;
     burn::counter& m_ejections;
+    core::log_throttle m_no_endpoint_lines;
     mutable std::mutex m_mutex;
     // The rest is guarded by m_mutex.
     std::shared_ptr<const routing::route_table> m_table;
--- a/packages/edge/tests/token_client_test.cpp
+++ b/packages/edge/tests/token_client_test.cpp
@@ -101,3 +101,34 @@
     client.handle_answer({0, true, milliseconds(0)});
     CHECK_FALSE(ask().is_admitted);
 }
+
+// Guards against an overload that the questions themselves keep up: each request of a workspace far above its
+// limit asked collectors that were too busy to answer, and waited for both timeouts.
+TEST(token_client, collectors_that_do_not_answer_are_asked_again_only_after_a_pause)
+{
+    granters = {collector("a"), collector("b")};
+    CHECK_FALSE(ask().is_admitted);
+    CHECK_EQUAL(2U, asked.size());
+    const quota::quota_decision rejected = ask();
+    CHECK_FALSE(rejected.is_admitted);
+    CHECK(rejected.retry_after > milliseconds(100));
+    CHECK_EQUAL(2U, asked.size());
+    CHECK_TRUE(client.find_pause("mill", std::chrono::steady_clock::now()).has_value());
+    CHECK_FALSE(client.find_pause("other", std::chrono::steady_clock::now()).has_value());
+}
+
+// Guards against any number of requests of one workspace that wait for answers at the same time.
+TEST(token_client, requests_beyond_the_number_that_may_wait_are_rejected_at_once)
+{
+    granters = {collector("a")};
+    std::vector<std::future<quota::quota_decision>> results;
+    for (int index = 0; index < 200; ++index) {
+        results.push_back(
+            boost::asio::co_spawn(context, client.request_token("mill"), boost::asio::use_future));
+    }
+    context.run();
+    for (std::future<quota::quota_decision>& result : results) {
+        CHECK_FALSE(result.get().is_admitted);
+    }
+    CHECK_EQUAL(32U, asked.size());
+}
--- a/packages/edge/token_client.cpp
+++ b/packages/edge/token_client.cpp
@@ -1,4 +1,5 @@
-// Sends token requests to collectors, waits for their answers with a timeout, and remembers rejections.
+// Sends token requests to collectors, waits for their answers with a timeout, and remembers rejections and
+// missing answers.
 
 #include "edge/token_client.h"
 
@@ -17,14 +18,30 @@
 namespace
 {
 
+constexpr double unanswered_lines_per_second = 10;
+
 // Two round trips between regions. Waiting longer costs a request more than being retried would.
 constexpr core::duration answer_timeout = std::chrono::milliseconds(60);
 // Minimum time before a workspace is asked for again after a rejection, for rejections that give no
 // retry-after time.
-constexpr core::duration min_exhausted_time = std::chrono::milliseconds(20);
+constexpr core::duration min_rejection_pause = std::chrono::milliseconds(20);
+// Time before a workspace is asked for again after no collector has answered. The collectors are overloaded or
+// out of reach; further requests would add to their load and wait in vain.
+constexpr core::duration unanswered_pause = std::chrono::milliseconds(250);
+// Requests of a workspace that wait for an answer at the same time. So many are waiting only if the workspace
+// asks for far more than its limit or if the collectors do not answer in time.
+constexpr std::size_t max_waiting_requests = 32;
 
 } // namespace
 
+token_client::token_client(asio::any_io_executor executor, std::string own_instance, hooks callbacks)
+    : m_executor(std::move(executor)),
+      m_own_instance(std::move(own_instance)),
+      m_hooks(std::move(callbacks)),
+      m_unanswered_lines(unanswered_lines_per_second)
+{
+}
+
 void token_client::handle_answer(const token_answer_message& answer)
 {
     const std::map<std::uint64_t, std::shared_ptr<pending_request>>::const_iterator found =
@@ -49,36 +66,65 @@
     co_await pending->timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
     m_pending.erase(number);
     if (!pending->answer) {
-        core::info_event("token_not_answered")
-            .with("workspace", workspace)
-            .with("collector", collector.instance);
+        if (const std::optional<std::uint64_t> skipped =
+                m_unanswered_lines.try_take(std::chrono::steady_clock::now())) {
+            core::info_event("token_not_answered")
+                .with("workspace", workspace)
+                .with("collector", collector.instance)
+                .with("lines_skipped", *skipped);
+        }
     }
     co_return pending->answer;
 }
 
+std::optional<core::duration> token_client::find_pause(const std::string& workspace, core::instant now) const
+{
+    const std::lock_guard<std::mutex> guard(m_pause_mutex);
+    const std::map<std::string, core::instant>::const_iterator found = m_paused_until.find(workspace);
+    if (found == m_paused_until.end() || now >= found->second) {
+        return std::nullopt;
+    }
+    return found->second - now;
+}
+
+void token_client::pause(const std::string& workspace, core::instant until)
+{
+    const std::lock_guard<std::mutex> guard(m_pause_mutex);
+    m_paused_until[workspace] = until;
+}
+
 asio::awaitable<quota::quota_decision> token_client::request_token(std::string workspace)
 {
     quota::quota_decision result;
-    const core::instant now = std::chrono::steady_clock::now();
-    const core::instant exhausted_until = m_exhausted_until[workspace];
-    if (now < exhausted_until) {
-        result.retry_after = exhausted_until - now;
+    const std::optional<core::duration> paused_for =
+        find_pause(workspace, std::chrono::steady_clock::now());
+    std::size_t& waiting = m_waiting[workspace];
+    if (paused_for || waiting >= max_waiting_requests) {
+        result.retry_after = paused_for.value_or(answer_timeout);
         co_return result;
     }
+    ++waiting;
+    bool is_answered = false;
     for (const std::optional<instance_record>& collector : m_hooks.granters(workspace)) {
         if (!collector) {
-            co_return m_hooks.grant(workspace);
+            result = m_hooks.grant(workspace);
+            is_answered = true;
+            break;
         }
         const std::optional<token_answer_message> answer = co_await ask_collector(*collector, workspace);
         if (answer) {
             result.is_admitted = answer->is_granted;
             result.retry_after = answer->retry_after;
+            is_answered = true;
             break;
         }
     }
+    --waiting;
     if (!result.is_admitted) {
-        m_exhausted_until[workspace] =
-            std::chrono::steady_clock::now() + std::max(result.retry_after, min_exhausted_time);
+        const core::duration pause_time =
+            is_answered ? std::max(result.retry_after, min_rejection_pause) : unanswered_pause;
+        result.retry_after = std::max(result.retry_after, pause_time);
+        pause(workspace, std::chrono::steady_clock::now() + pause_time);
     }
     co_return result;
 }
--- a/packages/edge/token_client.h
+++ b/packages/edge/token_client.h
@@ -3,6 +3,7 @@
 
 #pragma once
 
+#include "core/log_throttle.h"
 #include "edge/instance_record.h"
 #include "edge/peer_message.h"
 #include "quota/fleet_quota.h"
@@ -13,6 +14,7 @@
 
 #include <functional>
 #include <map>
+#include <mutex>
 #include <memory>
 #include <optional>
 #include <string>
@@ -21,7 +23,7 @@
 namespace quetzalspan::edge
 {
 
-// Runs on the given executor, which must be single-threaded or a strand.
+// Runs on the given executor, which must be single-threaded or a strand, except for find_pause().
 class token_client
 {
 public:
@@ -35,21 +37,21 @@
         std::function<quota::quota_decision(const std::string& workspace)> grant;
     };
 
-    token_client(boost::asio::any_io_executor executor, std::string own_instance, hooks callbacks)
-        : m_executor(std::move(executor)),
-          m_own_instance(std::move(own_instance)),
-          m_hooks(std::move(callbacks))
-    {
-    }
+    token_client(boost::asio::any_io_executor executor, std::string own_instance, hooks callbacks);
 
     token_client(const token_client&) = delete;
     token_client& operator=(const token_client&) = delete;
 
     // Asks the collectors one after the other until one answers, with a timeout for each. The result is a
-    // rejection if none answers. After a rejection the workspace is rejected without asking until the
-    // retry-after time has passed.
+    // rejection if none answers, or if too many requests of the workspace already wait for an answer. After a
+    // rejection the workspace is rejected without asking until the retry-after time has passed, and for a
+    // longer pause if no collector has answered.
     boost::asio::awaitable<quota::quota_decision> request_token(std::string workspace);
 
+    // Returns the time for which requests of the workspace are rejected without asking, or no value if a
+    // collector would be asked. Can be called from any thread.
+    std::optional<core::duration> find_pause(const std::string& workspace, core::instant now) const;
+
     // Handles the answer to a request. An answer that arrives after the timeout of its request is dropped.
     void handle_answer(const token_answer_message& answer);
 
@@ -61,15 +63,21 @@
 
     boost::asio::awaitable<std::optional<token_answer_message>>
     ask_collector(const instance_record& collector, const std::string& workspace);
+    void pause(const std::string& workspace, core::instant until);
 
     boost::asio::any_io_executor m_executor;
     std::string m_own_instance;
     hooks m_hooks;
+    core::log_throttle m_unanswered_lines;
     std::uint64_t m_next_number = 0;
     // Requests that wait for an answer, by number.
     std::map<std::uint64_t, std::shared_ptr<pending_request>> m_pending;
-    // The time until which a workspace is rejected without asking a collector, by workspace.
-    std::map<std::string, core::instant> m_exhausted_until;
+    // The number of requests that wait for an answer, by workspace.
+    std::map<std::string, std::size_t> m_waiting;
+    mutable std::mutex m_pause_mutex;
+    // The time until which a workspace is rejected without asking a collector, by workspace. Guarded by
+    // m_pause_mutex.
+    std::map<std::string, core::instant> m_paused_until;
 };
 
 } // namespace quetzalspan::edge
