Quota: Spread the granting of tokens over all instances

Messages were lost, the collectors called up to 100 instances silent and granted nothing, and 70% of the requests were refused.

Change: limits below 0.5 requests a second and instance are no longer divided into shares nor reported; their tokens are granted one by one. The two granters of a workspace are chosen by a hash of its name over all instances, so each instance grants for a few workspaces. A new granter starts one second late with an empty bucket, since others may still ask the previous one. A rejected caller is told to wait longer the more requests of its workspace are rejected, at a random point of the spread.

Ruled out: longer messages with all workspaces to a collector for each zone; the messages themselves would still grow with the workspaces.

--- a/packages/edge/fleet_membership.cpp
+++ b/packages/edge/fleet_membership.cpp
@@ -1,11 +1,12 @@
-// Tracks the members of the fleet, orders the collectors by a hash of their names, and decides which members
-// are alive.
+// Tracks the members of the fleet, orders the collectors and the granters by a hash of their names, and decides
+// which members are alive.
 
 #include "edge/fleet_membership.h"
 
 #include "core/stable_hash.h"
 
 #include <algorithm>
+#include <functional>
 
 namespace quetzalspan::edge
 {
@@ -18,6 +19,15 @@
 
 // Hash seed that makes the order of collectors independent of other uses of the hash of an instance's name.
 constexpr std::uint64_t collector_seed = 0x636f6c6c65637473U;
+// The same for the order of granters.
+constexpr std::uint64_t granter_seed = 0x6772616e74657273U;
+
+// A token is asked for from one granter and, if it does not answer, from a second one.
+constexpr std::size_t granter_count = 2;
+
+// Instances that are kept in the order of granters of a workspace. More than granter_count, because some may be
+// silent while the store still lists them.
+constexpr std::size_t granter_candidate_count = 6;
 
 } // namespace
 
@@ -74,6 +84,7 @@
 
 void fleet_membership::update_collectors()
 {
+    m_granter_order.clear();
     m_collector_order.assign(1, m_options.own_instance);
     for (const auto& [name, entry] : m_members) {
         if (name != m_options.own_instance && entry.record.phase == instance_phase::serving) {
@@ -148,18 +159,47 @@
     return result;
 }
 
+const std::vector<std::string>& fleet_membership::find_granter_order(const std::string& workspace) const
+{
+    std::vector<std::string>& order = m_granter_order[workspace];
+    if (!order.empty()) {
+        return order;
+    }
+    const std::uint64_t workspace_hash = core::stable_hash(workspace, granter_seed);
+    std::vector<std::pair<std::uint64_t, const std::string*>> ranked;
+    for (const std::string& name : m_collector_order) {
+        const std::map<std::string, member, std::less<>>::const_iterator listed = m_members.find(name);
+        // This instance is in the order of collectors also while it is leaving.
+        if (listed == m_members.end() || listed->second.record.phase == instance_phase::serving) {
+            ranked.emplace_back(core::mix_hash(workspace_hash ^ core::stable_hash(name, granter_seed)), &name);
+        }
+    }
+    const std::size_t kept = std::min(granter_candidate_count, ranked.size());
+    std::partial_sort(ranked.begin(), ranked.begin() + static_cast<std::ptrdiff_t>(kept), ranked.end(),
+                      std::greater<>());
+    for (std::size_t index = 0; index < kept; ++index) {
+        order.push_back(*ranked[index].second);
+    }
+    return order;
+}
+
 std::vector<std::optional<instance_record>> fleet_membership::granters(const std::string& workspace,
                                                                        core::instant now) const
 {
     const std::lock_guard<std::mutex> guard(m_mutex);
-    std::vector<std::string> chosen = choose_collectors(now);
-    const std::size_t first = core::stable_hash(workspace, collector_seed) % chosen.size();
-    std::rotate(chosen.begin(), chosen.begin() + static_cast<std::ptrdiff_t>(first), chosen.end());
     std::vector<std::optional<instance_record>> result;
-    for (const std::string& name : chosen) {
-        const bool is_own = name == m_options.own_instance;
-        result.push_back(is_own ? std::nullopt
-                                : std::optional<instance_record>(m_members.find(name)->second.record));
+    for (const std::string& name : find_granter_order(workspace)) {
+        if (result.size() == granter_count) {
+            break;
+        }
+        if (name == m_options.own_instance) {
+            result.emplace_back(std::nullopt);
+            continue;
+        }
+        const member& candidate = m_members.find(name)->second;
+        if (is_usable(name, candidate, now)) {
+            result.emplace_back(candidate.record);
+        }
     }
     return result;
 }
--- a/packages/edge/fleet_membership.h
+++ b/packages/edge/fleet_membership.h
@@ -57,8 +57,10 @@
     // Returns the collectors to which this instance sends its messages. All instances with the same view of
     // the fleet choose the same two. An instance that is silent is skipped.
     std::vector<instance_record> collectors(core::instant now) const;
-    // Returns the collectors that may grant tokens from the reserve of a workspace's limit, in the order in
-    // which they are asked. An element without a record stands for this instance.
+    // Returns the instances that may grant tokens from the reserve of a workspace's limit, in the order in
+    // which they are asked. An element without a record stands for this instance. Workspaces are spread over
+    // all serving instances by a hash, so that no instance grants for all of them. An instance that is silent
+    // is skipped. At most two; none if only silent instances come first in the order.
     std::vector<std::optional<instance_record>> granters(const std::string& workspace,
                                                          core::instant now) const;
     // Returns the instances that should send messages to this one, have sent some before and have now been
@@ -96,6 +98,7 @@
 
     // Returns the names of the usable collectors, this instance included if it is one.
     std::vector<std::string> choose_collectors(core::instant now) const;
+    const std::vector<std::string>& find_granter_order(const std::string& workspace) const;
     void update_collectors();
     bool is_designated_collector(const std::string& name) const;
     bool is_silent_sender(const std::string& name, const member& candidate, core::instant now) const;
@@ -111,6 +114,9 @@
     std::vector<std::string> m_collector_order;
     // Whether this instance is among the first two in that order.
     bool m_is_collector = false;
+    // The first instances in the order of granters, by workspace. Filled when a workspace is first asked for;
+    // cleared when the members change.
+    mutable std::map<std::string, std::vector<std::string>, std::less<>> m_granter_order;
     // The last report of each collector, by its name.
     std::map<std::string, silence_report, std::less<>> m_silence_reports;
 };
--- a/packages/edge/instance.cpp
+++ b/packages/edge/instance.cpp
@@ -19,7 +19,7 @@
 {
 
 constexpr core::duration periodic_task_interval = std::chrono::milliseconds(200);
-constexpr core::duration pool_check_interval = std::chrono::seconds(1);
+constexpr core::duration maintenance_interval = std::chrono::seconds(1);
 constexpr core::duration stop_poll_interval = std::chrono::milliseconds(20);
 // Part of the shutdown time that is kept for removing the instance's record and ending the process.
 constexpr core::duration shutdown_reserve = std::chrono::milliseconds(250);
@@ -192,15 +192,30 @@
     m_token_client = std::make_unique<token_client>(executor, m_options.instance, std::move(token_hooks));
 }
 
+quota::granter_role instance::find_granter_role(const std::string& workspace, core::instant now) const
+{
+    const std::vector<std::optional<instance_record>> granters = m_membership.granters(workspace, now);
+    if (!granters.empty() && !granters.front()) {
+        return quota::granter_role::primary;
+    }
+    return granters.size() > 1 && !granters[1] ? quota::granter_role::secondary : quota::granter_role::none;
+}
+
+void instance::update_granter_roles(core::instant now)
+{
+    for (const std::string& workspace : m_reserve.workspaces()) {
+        m_reserve.set_role(workspace, find_granter_role(workspace, now), now);
+    }
+}
+
 quota::quota_decision instance::grant_token(const std::string& workspace)
 {
-    if (2 * (m_demand_exchange->reporter_count() + 1) <= m_membership.size()) {
+    const core::instant now = current_time();
+    if (2 * m_fleet_quota.reporter_count(now) <= m_membership.size()) {
         return {};
     }
-    const core::instant now = current_time();
-    const bool is_first = !m_membership.granters(workspace, now).front().has_value();
-    return m_reserve.grant(workspace,
-                           is_first ? quota::granter_role::primary : quota::granter_role::secondary, now);
+    m_reserve.set_role(workspace, find_granter_role(workspace, now), now);
+    return m_reserve.grant(workspace, now);
 }
 
 void instance::add_control_server(const socket_address& address, http::request_handler handler)
@@ -280,6 +295,13 @@
 
 asio::awaitable<quota::quota_decision> instance::request_token(std::string workspace)
 {
+    // Answered on the request's own thread, because a workspace far above its limit is rejected thousands of
+    // times a second.
+    if (const std::optional<core::duration> pause = m_token_client->find_pause(workspace, current_time())) {
+        quota::quota_decision rejected;
+        rejected.retry_after = *pause;
+        co_return rejected;
+    }
     const quota::quota_decision result = co_await asio::co_spawn(
         m_control_context, m_token_client->request_token(std::move(workspace)), asio::use_awaitable);
     co_return result;
@@ -287,15 +309,16 @@
 
 asio::awaitable<void> instance::run_periodic_tasks()
 {
-    core::instant pool_checked = current_time();
+    core::instant maintained_at = current_time();
     while (true) {
         co_await sleep_for(periodic_task_interval);
         const core::instant now = current_time();
         m_balancer.update_periodically(now);
         m_fleet_quota.rebalance(now);
-        if (now - pool_checked >= pool_check_interval) {
-            pool_checked = now;
+        if (now - maintained_at >= maintenance_interval) {
+            maintained_at = now;
             m_pool->close_expired(now);
+            update_granter_roles(now);
         }
     }
 }
--- a/packages/edge/instance.h
+++ b/packages/edge/instance.h
@@ -64,8 +64,12 @@
     void await_signal();
     void handle_signal(int signal);
     void create_peer_messaging(const boost::asio::any_io_executor& executor);
-    // Takes a token from the reserve of this instance. Grants only while a majority of the fleet, this
-    // instance included, reports here, so that in a network partition at most one side uses the reserve.
+    quota::granter_role find_granter_role(const std::string& workspace, core::instant now) const;
+    // Tells the reserve what this instance is for each workspace.
+    void update_granter_roles(core::instant now);
+    // Takes a token from the reserve of this instance. Grants only while a majority of the fleet is known to
+    // report to a collector that this instance hears, so that in a network partition at most one side uses the
+    // reserve.
     quota::quota_decision grant_token(const std::string& workspace);
     // Asks the fleet for a token of the workspace. Called on a request thread; the request itself is sent
     // from the control thread.
--- a/packages/edge/request_rules.cpp
+++ b/packages/edge/request_rules.cpp
@@ -4,6 +4,7 @@
 #include "edge/request_rules.h"
 
 #include "core/log_event.h"
+#include "quota/retry_after.h"
 
 #include <boost/asio/awaitable.hpp>
 
@@ -47,8 +48,8 @@
 
 double random_fraction()
 {
-    std::random_device source;
-    return std::uniform_real_distribution<double>(0, 1)(source);
+    thread_local std::mt19937_64 generator{std::random_device()()};
+    return std::uniform_real_distribution<double>(0, 1)(generator);
 }
 
 core::instant current_time()
@@ -78,7 +79,10 @@
                                            {{"result", "granted"}})),
       m_tokens_refused(metrics.get_counter("tokens_total", "Requests that asked a collector for a token.",
                                            {{"result", "refused"}})),
-      m_latency(metrics.get_summary("request_seconds", "Time from the header of a request to its end."))
+      m_latency(metrics.get_summary("request_seconds", "Time from the header of a request to its end.")),
+      m_request_lines(options.log_lines_per_second),
+      m_rejection_lines(options.log_lines_per_second),
+      m_retry_lines(options.log_lines_per_second)
 {
     for (std::size_t index = 0; index < failure_count; ++index) {
         const std::string reason(dispatch::outcome_rule_for(static_cast<failure>(index)).reason);
@@ -194,21 +198,36 @@
     const quota::quota_decision asked = co_await m_request_token(admitted.workspace);
     (asked.is_admitted ? m_tokens_granted : m_tokens_refused).add();
     if (asked.is_admitted) {
+        m_fleet_quota.record_reserve_token(admitted.workspace, current_time());
         co_return std::nullopt;
     }
-    // A limit that is not divided into shares has no token bucket on this instance, so only the collector's
-    // answer can tell when to retry.
-    const core::duration retry_after =
+    // A limit that is not divided into shares has no token bucket on this instance, so only the granter's
+    // answer can tell when the next token is expected.
+    const core::duration next_token =
         decision.retry_after > core::duration(0) ? decision.retry_after : asked.retry_after;
+    const core::duration retry_after =
+        quota::compute_retry_after(next_token, decision.admitted_fraction, random_fraction());
+    log_rate_limited(admitted, decision, retry_after, now);
+    co_return rejection{failure::rate_limited, retry_after};
+}
+
+void request_rules::log_rate_limited(const admission& admitted, const quota::quota_decision& decision,
+                                     core::duration retry_after, core::instant asked_at)
+{
+    const core::instant now = current_time();
+    const std::optional<std::uint64_t> skipped = m_rejection_lines.try_take(now);
+    if (!skipped) {
+        return;
+    }
     core::info_event("rate_limited")
         .with("request_id", get_context(admitted).request_id)
         .with("workspace", admitted.workspace)
         .with("configuration", admitted.configuration_revision)
         .with("share_permille", static_cast<int>(decision.share * 1000))
         .with("demand_per_s", static_cast<int>(decision.demand))
-        .with("asked_ms", core::to_milliseconds(current_time() - now))
-        .with("retry_after_ms", core::to_milliseconds(retry_after));
-    co_return rejection{failure::rate_limited, retry_after};
+        .with("asked_ms", core::to_milliseconds(now - asked_at))
+        .with("retry_after_ms", core::to_milliseconds(retry_after))
+        .with("lines_skipped", *skipped);
 }
 
 caller::lease_result request_rules::acquire(const request_summary& request, const admission& admitted,
@@ -277,11 +296,14 @@
     }
     const bool is_granted = get_context(admitted).budget->try_spend();
     (is_granted ? m_retries : m_retries_refused).add();
-    core::info_event("retry")
-        .with("request_id", request.request_id)
-        .with("reason", dispatch::outcome_rule_for(at).reason)
-        .with("sends", state.sent_attempts)
-        .with("granted", is_granted);
+    if (const std::optional<std::uint64_t> skipped = m_retry_lines.try_take(now)) {
+        core::info_event("retry")
+            .with("request_id", request.request_id)
+            .with("reason", dispatch::outcome_rule_for(at).reason)
+            .with("sends", state.sent_attempts)
+            .with("granted", is_granted)
+            .with("lines_skipped", *skipped);
+    }
     return is_granted;
 }
 
@@ -291,7 +313,9 @@
     m_latency.record(record.total_time);
     const bool is_logged = record.failure.has_value() || record.status >= 500 ||
                            m_successes.fetch_add(1) % m_options.success_log_interval == 0;
-    if (!is_logged) {
+    const std::optional<std::uint64_t> skipped =
+        is_logged ? m_request_lines.try_take(current_time()) : std::nullopt;
+    if (!skipped) {
         return;
     }
     core::info_event event("request");
@@ -305,7 +329,8 @@
         .with("status", record.status)
         .with("outcome", dispatch::outcome_names.name(record.outcome))
         .with("attempts", record.attempts)
-        .with("total_ms", core::to_milliseconds(record.total_time));
+        .with("total_ms", core::to_milliseconds(record.total_time))
+        .with("lines_skipped", *skipped);
     if (record.failure) {
         event.with("reason", dispatch::outcome_rule_for(*record.failure).reason);
         const core::boot_clock::duration age = m_state.age(core::boot_clock::now());
--- a/packages/edge/request_rules.h
+++ b/packages/edge/request_rules.h
@@ -5,6 +5,7 @@
 
 #include "burn/metrics_registry.h"
 #include "caller/proxy_hooks.h"
+#include "core/log_throttle.h"
 #include "dispatch/retry_budget.h"
 #include "edge/endpoint_balancer.h"
 #include "edge/instance_options.h"
@@ -43,6 +44,9 @@
     core::duration unconfirmed_retry_after = std::chrono::milliseconds(250);
     // One in this many successful requests is logged.
     std::uint64_t success_log_interval = 64;
+    // Lines of one kind that are written per second. Under overload the lines would otherwise take a good part
+    // of the processor time; each line says how many of its kind were skipped before it.
+    double log_lines_per_second = 50;
 };
 
 // Thread-safe; the hooks are called from all request threads.
@@ -71,6 +75,9 @@
                                                core::boot_clock::duration age,
                                                const routing::workspace*& workspace) const;
     boost::asio::awaitable<std::optional<caller::rejection>> admit(const caller::admission& admitted);
+    // asked_at is when the request was checked against this instance's share of the limit.
+    void log_rate_limited(const caller::admission& admitted, const quota::quota_decision& decision,
+                          core::duration retry_after, core::instant asked_at);
     caller::lease_result acquire(const caller::request_summary& request, const caller::admission& admitted,
                                  const std::vector<std::string>& tried, core::instant now);
     std::optional<caller::rejection> recheck(const caller::request_summary& request,
@@ -98,6 +105,9 @@
     // path.
     std::vector<burn::counter*> m_failures;
     std::atomic<std::uint64_t> m_successes{0};
+    core::log_throttle m_request_lines;
+    core::log_throttle m_rejection_lines;
+    core::log_throttle m_retry_lines;
     std::mutex m_mutex;
     // By service. m_mutex protects the map; the budgets themselves are thread-safe.
     std::map<std::string, std::unique_ptr<dispatch::retry_budget>> m_budgets;
--- a/packages/quota/fleet_quota.cpp
+++ b/packages/quota/fleet_quota.cpp
@@ -44,10 +44,8 @@
     if (instances > compute_fleet_burst(limit, options)) {
         return 0;
     }
-    const double range = options.max_partitioned_fraction - options.min_partitioned_fraction;
-    const double partition_level =
-        std::min(limit.rate / instances / options.full_partition_rate_per_instance, 1.0);
-    return options.min_partitioned_fraction + range * partition_level;
+    return limit.rate / instances < options.min_partitioned_rate_per_instance ? 0
+                                                                              : options.partitioned_fraction;
 }
 
 double compute_instance_share(double own_demand, double other_demand, std::size_t reporter_count,
@@ -159,9 +157,14 @@
     workspace_state& state = found->second;
     state.demand.record(now);
     result.is_admitted = state.bucket.try_take(now);
+    if (result.is_admitted) {
+        state.admitted.record(now);
+    }
     result.share = state.share;
     result.tokens = state.bucket.tokens(now);
     result.demand = state.demand.rate(now);
+    result.admitted_fraction =
+        std::min(state.admitted.rate(now) / std::max(result.demand, min_reported_demand), 1.0);
     if (!result.is_admitted) {
         const core::duration wait = state.bucket.time_until_next_token(now);
         result.retry_after = wait == core::duration::max() ? core::duration(0) : wait;
@@ -169,6 +172,22 @@
     return result;
 }
 
+void fleet_quota::record_reserve_token(std::string_view workspace, core::instant now)
+{
+    const std::lock_guard<std::mutex> guard(m_mutex);
+    const std::map<std::string, workspace_state, std::less<>>::iterator found = m_workspaces.find(workspace);
+    if (found != m_workspaces.end()) {
+        found->second.admitted.record(now);
+    }
+}
+
+std::size_t fleet_quota::reporter_count(core::instant now) const
+{
+    const std::lock_guard<std::mutex> guard(m_mutex);
+    const received_sums* received = find_sums_with_most_reporters(now);
+    return received == nullptr ? 0 : received->sums.reporter_count;
+}
+
 demand_report fleet_quota::make_report(core::instant now)
 {
     const std::lock_guard<std::mutex> guard(m_mutex);
@@ -179,7 +198,8 @@
     result.sequence = m_report_sequence;
     for (auto& [name, state] : m_workspaces) {
         const double rate = state.demand.rate(now);
-        if (rate >= min_reported_demand && state.limit.rate > 0) {
+        if (rate >= min_reported_demand &&
+            compute_partitioned_fraction(state.limit, m_fleet_size, m_options) > 0) {
             // Rounds to a tenth of a request per second.
             constexpr double rounding_steps_per_unit = 10;
             result.rates.emplace(name, std::round(rate * rounding_steps_per_unit) / rounding_steps_per_unit);
--- a/packages/quota/fleet_quota.h
+++ b/packages/quota/fleet_quota.h
@@ -35,13 +35,13 @@
     // The fraction of its even share that an instance keeps without any demand. It admits the first requests
     // of a workspace that is new to the instance.
     double guaranteed_share_fraction = 0.3;
-    // Bounds of the fraction of a limit that is partitioned into shares; single tokens of the rest are
-    // granted on request (see grantable_reserve). Limits below full_partition_rate_per_instance partition a
-    // smaller fraction, because their requests seldom arrive at an instance that has a token left.
-    double max_partitioned_fraction = 0.6;
-    double min_partitioned_fraction = 0.2;
-    // The limit in requests per second per instance from which the maximum fraction is partitioned.
-    double full_partition_rate_per_instance = 0.5;
+    // The fraction of a limit that is partitioned into shares, if the limit is large enough for the fleet;
+    // single tokens of the rest are granted on request (see grantable_reserve).
+    double partitioned_fraction = 0.6;
+    // A limit below this many requests per second per instance is not partitioned at all, because its requests
+    // seldom arrive at an instance that has a token left. Its demand is not reported either, which keeps the
+    // messages of a large fleet small.
+    double min_partitioned_rate_per_instance = 0.5;
     core::duration demand_time_constant = std::chrono::milliseconds(1000);
     // The sequence number of the first report. It must be higher than those from earlier runs of the
     // instance.
@@ -62,6 +62,8 @@
     bool is_admitted = false;
     // The time after which the caller may try again; zero if unknown.
     core::duration retry_after{0};
+    // The part of the requests of the last seconds at this instance that were admitted, from 0 to 1.
+    double admitted_fraction = 1;
     // The values behind the decision, for logs: this instance's share of the limit from 0 to 1, the tokens
     // left in the bucket, and this instance's demand in requests per second. Zero where they do not apply.
     double share = 0;
@@ -74,7 +76,7 @@
 double compute_fleet_burst(const workspace_limit& limit, const quota_options& options);
 
 // Returns the fraction of a limit that is partitioned into shares in a fleet of the given size. Returns 0 if
-// one token for each instance would exceed the burst of the fleet.
+// the rate is too low for that, or if one token for each instance would exceed the burst of the fleet.
 double compute_partitioned_fraction(const workspace_limit& limit, std::size_t fleet_size,
                                     const quota_options& options);
 
@@ -107,22 +109,34 @@
     // Decides whether to admit one request. A workspace without a limit is always admitted.
     quota_decision admit(std::string_view workspace, core::instant now);
 
+    // Counts a request that admit() rejected and that was admitted by a token of the reserve.
+    void record_reserve_token(std::string_view workspace, core::instant now);
+
+    // Returns the number of instances that reported to the collector that the most instances report to, or 0 if
+    // no collector was heard within the lifetime of its sums.
+    std::size_t reporter_count(core::instant now) const;
+
     // Recomputes this instance's shares from the current demand and the stored sums.
     void rebalance(core::instant now);
 
-    // Creates a report of this instance's demand by workspace, without workspaces whose demand is negligible.
+    // Creates a report of this instance's demand by workspace, without workspaces whose demand is negligible
+    // or whose limit is not partitioned.
     demand_report make_report(core::instant now);
 
 private:
     struct workspace_state {
         workspace_state(const quota_options& options, core::instant now)
-            : bucket(now), demand(options.demand_time_constant, now)
+            : bucket(now),
+              demand(options.demand_time_constant, now),
+              admitted(options.demand_time_constant, now)
         {
         }
 
         workspace_limit limit;
         token_bucket bucket;
         demand_meter demand;
+        // The requests that were admitted, by a share or by a token of the reserve.
+        demand_meter admitted;
         // This instance's share of the partitioned limit, from 0 to 1.
         double share = 0;
     };
@@ -141,7 +155,7 @@
     void apply_share(workspace_state& target, core::instant now) const;
 
     quota_options m_options;
-    std::mutex m_mutex;
+    mutable std::mutex m_mutex;
     // The members below are guarded by m_mutex.
     // Keyed by the name of the workspace.
     std::map<std::string, workspace_state, std::less<>> m_workspaces;
--- a/packages/quota/shared_reserve.cpp
+++ b/packages/quota/shared_reserve.cpp
@@ -8,21 +8,36 @@
 namespace
 {
 
-// The fraction of the reserve that the collector asked first may grant. The second collector has the rest.
-constexpr double first_collector_fraction = 0.75;
+// The fraction of the reserve that the granter asked first may grant. The second granter has the rest.
+constexpr double primary_fraction = 0.85;
+
+// All instances know of a changed granter within this time: one watch of the store with its pause, or one
+// report of silent instances.
+constexpr core::duration takeover_delay = std::chrono::milliseconds(1000);
+
+double role_fraction(granter_role role)
+{
+    switch (role) {
+    case granter_role::none:
+        return 0;
+    case granter_role::primary:
+        return primary_fraction;
+    case granter_role::secondary:
+        return 1 - primary_fraction;
+    }
+    return 0;
+}
 
 } // namespace
 
 void grantable_reserve::apply_limit(workspace_reserve& target, core::instant now) const
 {
-    const double reserve_fraction = 1 - compute_partitioned_fraction(target.limit, m_fleet_size, m_options);
-    const double rate = target.limit.rate * reserve_fraction;
-    // Only half of the burst is used: the order of the collectors changes with the members of the fleet, and
-    // a collector that newly starts to grant has a full bucket.
-    const double burst = compute_fleet_burst(target.limit, m_options) * reserve_fraction / 2;
-    target.first.set_rate_and_burst(rate * first_collector_fraction, burst * first_collector_fraction, now);
-    target.second.set_rate_and_burst(rate * (1 - first_collector_fraction),
-                                     burst * (1 - first_collector_fraction), now);
+    const double fraction = role_fraction(target.role) *
+                            (1 - compute_partitioned_fraction(target.limit, m_fleet_size, m_options));
+    // Only half of the burst is used: the granters change with the members of the fleet, and the previous and
+    // the new one may both have granted their burst within one window.
+    const double burst = compute_fleet_burst(target.limit, m_options) * fraction / 2;
+    target.bucket.set_rate_and_burst(target.limit.rate * fraction, burst, now);
 }
 
 void grantable_reserve::set_limits(const std::vector<workspace_limit>& limits, core::instant now)
@@ -33,7 +48,7 @@
         const std::map<std::string, workspace_reserve, std::less<>>::const_iterator existing =
             m_workspaces.find(limit.workspace);
         workspace_reserve entry = existing == m_workspaces.end()
-                                      ? workspace_reserve{limit, token_bucket(now), token_bucket(now)}
+                                      ? workspace_reserve{limit, granter_role::none, token_bucket(now)}
                                       : existing->second;
         entry.limit = limit;
         apply_limit(entry, now);
@@ -51,7 +66,20 @@
     }
 }
 
-quota_decision grantable_reserve::grant(std::string_view workspace, granter_role role, core::instant now)
+void grantable_reserve::set_role(std::string_view workspace, granter_role role, core::instant now)
+{
+    const std::lock_guard<std::mutex> guard(m_mutex);
+    const std::map<std::string, workspace_reserve, std::less<>>::iterator found =
+        m_workspaces.find(workspace);
+    if (found == m_workspaces.end() || found->second.role == role) {
+        return;
+    }
+    found->second.role = role;
+    found->second.bucket = token_bucket(now + takeover_delay);
+    apply_limit(found->second, now);
+}
+
+quota_decision grantable_reserve::grant(std::string_view workspace, core::instant now)
 {
     const std::lock_guard<std::mutex> guard(m_mutex);
     quota_decision result;
@@ -60,7 +88,7 @@
     if (found == m_workspaces.end()) {
         return result;
     }
-    token_bucket& bucket = role == granter_role::primary ? found->second.first : found->second.second;
+    token_bucket& bucket = found->second.bucket;
     result.is_admitted = bucket.try_take(now);
     result.tokens = bucket.tokens(now);
     if (!result.is_admitted) {
@@ -70,4 +98,14 @@
     return result;
 }
 
+std::vector<std::string> grantable_reserve::workspaces() const
+{
+    const std::lock_guard<std::mutex> guard(m_mutex);
+    std::vector<std::string> result;
+    for (const auto& [name, entry] : m_workspaces) {
+        result.push_back(name);
+    }
+    return result;
+}
+
 } // namespace quetzalspan::quota
--- a/packages/quota/shared_reserve.h
+++ b/packages/quota/shared_reserve.h
@@ -1,6 +1,6 @@
-// Holds the part of each workspace's limit that is not partitioned into shares. A collector grants it to
-// instances one token at a time. While answers are lost, instances ask a second collector although the first
-// one still grants tokens, so each of the two collectors has its own part of the reserve.
+// Holds the part of each workspace's limit that is not partitioned into shares. Two instances, the granters of
+// the workspace, grant it to the others one token at a time. While answers are lost, instances ask the second
+// granter although the first one still grants tokens, so each of the two has its own part of the reserve.
 
 #pragma once
 
@@ -15,9 +15,9 @@
 namespace quetzalspan::quota
 {
 
-// Which collector this is for a workspace: the one that instances ask first for tokens, or the one that they
-// ask if the first does not answer.
-enum class granter_role { primary, secondary };
+// What this instance is for a workspace: the granter that instances ask first for tokens, the one that they ask
+// if the first does not answer, or neither.
+enum class granter_role { none, primary, secondary };
 
 // Thread-safe.
 class grantable_reserve
@@ -34,23 +34,31 @@
     // Sets the number of instances in the fleet, which determines the size of the reserve.
     void set_fleet_size(std::size_t size, core::instant now);
 
-    // Decides whether to grant a token for one request of an instance. A workspace that is not in the limits
-    // is never granted one, and retry_after stays zero.
-    quota_decision grant(std::string_view workspace, granter_role role, core::instant now);
+    // Records what this instance is for the workspace at present. Tokens of a role that it did not have before
+    // accumulate from takeover_delay later, so that the previous granter, which may not know of the change yet,
+    // has stopped by then.
+    void set_role(std::string_view workspace, granter_role role, core::instant now);
+
+    // Decides whether to grant a token for one request of an instance in the present role. A workspace that is
+    // not in the limits, and one for which this instance has no role, is never granted one, and retry_after
+    // stays zero.
+    quota_decision grant(std::string_view workspace, core::instant now);
+
+    // Returns the workspaces with a limit.
+    std::vector<std::string> workspaces() const;
 
 private:
     struct workspace_reserve {
         workspace_limit limit;
-        // The tokens granted in the role granter_role::primary.
-        token_bucket first;
-        // The tokens granted in the role granter_role::secondary.
-        token_bucket second;
+        granter_role role;
+        // The tokens granted in the role.
+        token_bucket bucket;
     };
 
     void apply_limit(workspace_reserve& target, core::instant now) const;
 
     quota_options m_options;
-    std::mutex m_mutex;
+    mutable std::mutex m_mutex;
     // The members below are guarded by m_mutex.
     std::size_t m_fleet_size = 1;
     // Keyed by the name of the workspace.
