Store, edge: Let one instance of a region confirm the copies of the others

Change: in a region of four instances or more, one of them, chosen by a hash, watches the store at shorter intervals. The others ask it for the revision of its copy and up to when that copy is complete. The age counts back from when the question was sent, so no clock is shared and a slow answer only makes the confirmation older.

Ruled out: longer waits of each instance's own watch; the bounds on keys (5 s) and configurations (3 s) leave at most half of the calls to save.

Result: tests with a scripted store: no call while the relay confirms the copy.

--- a/packages/edge/demand_exchange.cpp
+++ b/packages/edge/demand_exchange.cpp
@@ -159,8 +159,13 @@
         } else if (const token_request_message* token_request =
                        std::get_if<token_request_message>(&message)) {
             handle_token_request(*token_request, sender);
+        } else if (const token_answer_message* token_answer = std::get_if<token_answer_message>(&message)) {
+            m_hooks.on_token_answer(*token_answer);
+        } else if (const confirmation_request_message* question =
+                       std::get_if<confirmation_request_message>(&message)) {
+            handle_confirmation_request(*question, sender);
         } else {
-            m_hooks.on_token_answer(std::get<token_answer_message>(message));
+            m_hooks.on_confirmation(std::get<confirmation_message>(message));
         }
     } catch (const core::findings_error& error) {
         core::warning_event("peer_message_rejected")
@@ -202,4 +207,15 @@
               sender);
 }
 
+void demand_exchange::handle_confirmation_request(const confirmation_request_message& message,
+                                                  const udp::endpoint& sender)
+{
+    const std::optional<store::peer_confirmation> known = m_hooks.confirm_copy();
+    if (!known || !m_hooks.is_member(message.instance)) {
+        return;
+    }
+    const core::duration age = core::boot_clock::now() - known->as_of;
+    send_text(to_text(confirmation_message{message.number, known->revision, age}), sender);
+}
+
 } // namespace quetzalspan::edge
--- a/packages/edge/demand_exchange.h
+++ b/packages/edge/demand_exchange.h
@@ -9,6 +9,7 @@
 #include "edge/peer_message.h"
 #include "quota/demand_collector.h"
 #include "quota/fleet_quota.h"
+#include "store/prefix_mirror.h"
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/ip/udp.hpp>
@@ -47,6 +48,10 @@
         std::function<quota::quota_decision(const std::string& workspace)> grant;
         // Called for the answer to a token request that this instance sent.
         std::function<void(const token_answer_message&)> on_token_answer;
+        // Returns what this instance's copy of the store can confirm to others.
+        std::function<std::optional<store::peer_confirmation>()> confirm_copy;
+        // Called for the answer to a question that this instance's confirmation_client sent.
+        std::function<void(const confirmation_message&)> on_confirmation;
     };
 
     // Binds the address, whose host must be numeric. Throws boost::system::system_error if binding fails.
@@ -64,9 +69,6 @@
     // Sends a message to an instance. Returns whether it was handed to the network; delivery is not assured.
     bool send(const instance_record& target, const std::string& text);
 
-    // Returns the number of instances whose reports are recent enough to be included in the sums.
-    std::size_t reporter_count() const { return m_collector.reporters().size(); }
-
     // Returns the first sequence number of this process: the wall-clock time in milliseconds, so that it is
     // above those of earlier starts of the instance.
     static std::uint64_t make_start_sequence();
@@ -87,6 +89,8 @@
     void handle_sums(const demand_sums_message& message);
     void handle_token_request(const token_request_message& message,
                               const boost::asio::ip::udp::endpoint& sender);
+    void handle_confirmation_request(const confirmation_request_message& message,
+                                     const boost::asio::ip::udp::endpoint& sender);
     static constexpr std::size_t max_datagram_bytes = 16 * 1024;
 
     boost::asio::ip::udp::socket m_socket;
--- a/packages/edge/fleet_membership.cpp
+++ b/packages/edge/fleet_membership.cpp
@@ -1,5 +1,5 @@
-// Tracks the members of the fleet, orders the collectors and the granters by a hash of their names, and decides
-// which members are alive.
+// Tracks the members of the fleet, orders the collectors and the granters by a hash of their names, and
+// decides which members are alive.
 
 #include "edge/fleet_membership.h"
 
@@ -22,11 +22,17 @@
 // The same for the order of granters.
 constexpr std::uint64_t granter_seed = 0x6772616e74657273U;
 
+// The same for the choice of a region's relay.
+constexpr std::uint64_t relay_seed = 0x72656c6179U;
+
+// With fewer instances in a region, the shorter intervals of the relay cost as many calls as it saves.
+constexpr std::size_t min_relayed_instances = 4;
+
 // A token is asked for from one granter and, if it does not answer, from a second one.
 constexpr std::size_t granter_count = 2;
 
-// Instances that are kept in the order of granters of a workspace. More than granter_count, because some may be
-// silent while the store still lists them.
+// Instances that are kept in the order of granters of a workspace. More than granter_count, because some may
+// be silent while the store still lists them.
 constexpr std::size_t granter_candidate_count = 6;
 
 } // namespace
@@ -171,7 +177,8 @@
         const std::map<std::string, member, std::less<>>::const_iterator listed = m_members.find(name);
         // This instance is in the order of collectors also while it is leaving.
         if (listed == m_members.end() || listed->second.record.phase == instance_phase::serving) {
-            ranked.emplace_back(core::mix_hash(workspace_hash ^ core::stable_hash(name, granter_seed)), &name);
+            ranked.emplace_back(core::mix_hash(workspace_hash ^ core::stable_hash(name, granter_seed)),
+                                &name);
         }
     }
     const std::size_t kept = std::min(granter_candidate_count, ranked.size());
@@ -204,6 +211,32 @@
     return result;
 }
 
+region_relay fleet_membership::find_relay(const std::string& region, core::instant now) const
+{
+    const std::lock_guard<std::mutex> guard(m_mutex);
+    const std::pair<const std::string, member>* first = nullptr;
+    std::uint64_t first_hash = 0;
+    std::size_t count = 0;
+    for (const std::pair<const std::string, member>& entry : m_members) {
+        const bool is_own = entry.first == m_options.own_instance;
+        if (entry.second.record.region != region || entry.second.record.phase != instance_phase::serving ||
+            !(is_own || is_usable(entry.first, entry.second, now))) {
+            continue;
+        }
+        ++count;
+        const std::uint64_t hash = core::stable_hash(entry.first, relay_seed);
+        if (first == nullptr || hash < first_hash) {
+            first = &entry;
+            first_hash = hash;
+        }
+    }
+    if (count < min_relayed_instances) {
+        return {};
+    }
+    const bool is_own = first->first == m_options.own_instance;
+    return {is_own, is_own ? std::nullopt : std::optional<instance_record>(first->second.record)};
+}
+
 bool fleet_membership::is_silent_sender(const std::string& name, const member& candidate,
                                         core::instant now) const
 {
--- a/packages/edge/fleet_membership.h
+++ b/packages/edge/fleet_membership.h
@@ -30,6 +30,14 @@
     core::duration report_lifetime = std::chrono::milliseconds(1300);
 };
 
+// The instance of a region that holds a watch on the store and confirms the copies of the others.
+struct region_relay {
+    // Whether it is this instance.
+    bool is_own = false;
+    // No value if it is this instance, or if the region has none.
+    std::optional<instance_record> other;
+};
+
 // Thread-safe.
 class fleet_membership
 {
@@ -63,6 +71,9 @@
     // is skipped. At most two; none if only silent instances come first in the order.
     std::vector<std::optional<instance_record>> granters(const std::string& workspace,
                                                          core::instant now) const;
+    // Returns which instance of the region asks the store on behalf of the others. With few instances in the
+    // region there is none.
+    region_relay find_relay(const std::string& region, core::instant now) const;
     // Returns the instances that should send messages to this one, have sent some before and have now been
     // silent for longer than the peer timeout.
     std::set<std::string, std::less<>> silent_senders(core::instant now) const;
--- a/packages/edge/instance.cpp
+++ b/packages/edge/instance.cpp
@@ -145,8 +145,10 @@
     m_registration = registration::create(
         executor, m_store, own_record(),
         {m_options.lease_time, m_options.lease_renewal_interval, m_options.store_retry_pause});
-    store_watch_targets targets{m_state,         m_balancer, m_membership, m_fleet_quota, m_reserve,
-                                *m_registration, {}};
+    store_watch_targets targets{
+        m_state, m_balancer, m_membership, m_fleet_quota, m_reserve, *m_registration, {}, {}, {}};
+    targets.watch_mode = [this] { return find_watch_mode(); };
+    targets.ask_peer = [this] { return m_confirmation_client->ask(); };
     targets.on_configured = [this] { core::info_event("ready").with("instance", m_options.instance); };
     m_store_watcher =
         std::make_unique<store_watcher>(executor, m_store, m_deployment, m_options, std::move(targets));
@@ -178,9 +180,17 @@
     hooks.on_token_answer = [this](const token_answer_message& answer) {
         m_token_client->handle_answer(answer);
     };
+    hooks.confirm_copy = [this] { return m_store_watcher->confirmation(); };
+    hooks.on_confirmation = [this](const confirmation_message& answer) {
+        m_confirmation_client->handle_answer(answer);
+    };
     m_demand_exchange = demand_exchange::create(executor, m_options.instance, m_options.peer_address,
                                                 m_options.demand_interval, std::move(hooks));
+    create_peer_clients(executor);
+}
 
+void instance::create_peer_clients(const asio::any_io_executor& executor)
+{
     token_client::hooks token_hooks;
     token_hooks.granters = [this](const std::string& workspace) {
         return m_membership.granters(workspace, current_time());
@@ -190,6 +200,25 @@
     };
     token_hooks.grant = [this](const std::string& workspace) { return grant_token(workspace); };
     m_token_client = std::make_unique<token_client>(executor, m_options.instance, std::move(token_hooks));
+
+    confirmation_client::hooks confirmation_hooks;
+    confirmation_hooks.relay = [this] {
+        return m_membership.find_relay(m_options.region, current_time()).other;
+    };
+    confirmation_hooks.send = [this](const instance_record& target, const std::string& text) {
+        return m_demand_exchange->send(target, text);
+    };
+    m_confirmation_client =
+        std::make_unique<confirmation_client>(executor, m_options.instance, std::move(confirmation_hooks));
+}
+
+store::watch_mode instance::find_watch_mode() const
+{
+    const region_relay relay = m_membership.find_relay(m_options.region, current_time());
+    if (relay.is_own) {
+        return store::watch_mode::serving;
+    }
+    return relay.other ? store::watch_mode::asking : store::watch_mode::own;
 }
 
 quota::granter_role instance::find_granter_role(const std::string& workspace, core::instant now) const
--- a/packages/edge/instance.h
+++ b/packages/edge/instance.h
@@ -5,6 +5,7 @@
 
 #include "burn/metrics_registry.h"
 #include "caller/proxy_server.h"
+#include "edge/confirmation_client.h"
 #include "edge/demand_exchange.h"
 #include "edge/deployment_adapter.h"
 #include "edge/instance_options.h"
@@ -64,12 +65,14 @@
     void await_signal();
     void handle_signal(int signal);
     void create_peer_messaging(const boost::asio::any_io_executor& executor);
+    void create_peer_clients(const boost::asio::any_io_executor& executor);
+    store::watch_mode find_watch_mode() const;
     quota::granter_role find_granter_role(const std::string& workspace, core::instant now) const;
     // Tells the reserve what this instance is for each workspace.
     void update_granter_roles(core::instant now);
     // Takes a token from the reserve of this instance. Grants only while a majority of the fleet is known to
-    // report to a collector that this instance hears, so that in a network partition at most one side uses the
-    // reserve.
+    // report to a collector that this instance hears, so that in a network partition at most one side uses
+    // the reserve.
     quota::quota_decision grant_token(const std::string& workspace);
     // Asks the fleet for a token of the workspace. Called on a request thread; the request itself is sent
     // from the control thread.
@@ -100,6 +103,7 @@
     std::unique_ptr<store_watcher> m_store_watcher;
     std::shared_ptr<demand_exchange> m_demand_exchange;
     std::unique_ptr<token_client> m_token_client;
+    std::unique_ptr<confirmation_client> m_confirmation_client;
     std::shared_ptr<caller::proxy_server> m_caller_server;
     std::vector<std::shared_ptr<http::server>> m_control_servers;
     std::function<void()> m_on_reload;
--- a/packages/edge/instance_options.h
+++ b/packages/edge/instance_options.h
@@ -50,6 +50,12 @@
     core::duration store_watch_timeout = std::chrono::milliseconds(650);
     core::duration store_watch_pause = std::chrono::milliseconds(600);
     core::duration store_retry_pause = std::chrono::milliseconds(150);
+    // The same two for the relay of a region, which watches the store for the other instances of the region,
+    // and the pause between two questions of another instance to the relay. The relay's confirmation is at
+    // most 1 s old, so that of the others is below max_configuration_age_for_denials too.
+    core::duration relay_watch_timeout = std::chrono::milliseconds(400);
+    core::duration relay_watch_pause = std::chrono::milliseconds(200);
+    core::duration peer_ask_pause = std::chrono::milliseconds(900);
 
     // Interval between two demand reports to a collector, and between two messages with sums from it.
     core::duration demand_interval = std::chrono::milliseconds(500);
--- a/packages/edge/peer_message.cpp
+++ b/packages/edge/peer_message.cpp
@@ -16,8 +16,12 @@
 constexpr const char* sums_method = "demand_sums";
 constexpr const char* token_request_method = "token_request";
 constexpr const char* token_answer_method = "token_answer";
+constexpr const char* confirmation_request_method = "confirmation_request";
+constexpr const char* confirmation_method = "confirmation";
 // Longer than any sensible wait for a token.
 constexpr std::uint64_t max_retry_ms = 60'000;
+// Far above the age at which a confirmation is of no use any more.
+constexpr std::uint64_t max_confirmation_age_ms = 60'000;
 
 // Rates are encoded as integers in tenths of a request per second.
 constexpr double rate_steps_per_rps = 10;
@@ -101,8 +105,44 @@
     return result;
 }
 
+confirmation_request_message read_confirmation_request(codec::json_reader& in, const Json::Value& params)
+{
+    confirmation_request_message result;
+    result.instance = in.read_string(params, "instance", "params");
+    result.number = in.read_unsigned(params, "number", "params");
+    return result;
+}
+
+confirmation_message read_confirmation(codec::json_reader& in, const Json::Value& params)
+{
+    confirmation_message result;
+    result.number = in.read_unsigned(params, "number", "params");
+    result.revision = in.read_unsigned(params, "revision", "params");
+    result.age =
+        std::chrono::milliseconds(in.read_unsigned(params, "age_ms", "params", max_confirmation_age_ms));
+    return result;
+}
+
 } // namespace
 
+std::string to_text(const confirmation_request_message& message)
+{
+    Json::Value params;
+    params["instance"] = message.instance;
+    params["number"] = Json::UInt64(message.number);
+    return to_notification(confirmation_request_method, std::move(params));
+}
+
+std::string to_text(const confirmation_message& message)
+{
+    Json::Value params;
+    params["number"] = Json::UInt64(message.number);
+    params["revision"] = Json::UInt64(message.revision);
+    // Rounded up, since an age that is too low would make keys count as confirmed for too long.
+    params["age_ms"] = Json::Int64(core::to_milliseconds(message.age) + 1);
+    return to_notification(confirmation_method, std::move(params));
+}
+
 std::string to_text(const token_request_message& message)
 {
     Json::Value params;
@@ -161,6 +201,10 @@
         result = read_token_request(in, params);
     } else if (method == token_answer_method) {
         result = read_token_answer(in, params);
+    } else if (method == confirmation_request_method) {
+        result = read_confirmation_request(in, params);
+    } else if (method == confirmation_method) {
+        result = read_confirmation(in, params);
     } else {
         in.add_error("message.method", "is unknown");
     }
--- a/packages/edge/peer_message.h
+++ b/packages/edge/peer_message.h
@@ -1,6 +1,6 @@
 // The messages between instances: demand reports, which also serve as heartbeats; the sums that a collector
-// returns; and requests for rate-limit tokens with their answers. Each is a JSON-RPC notification in a
-// datagram of its own.
+// returns; requests for rate-limit tokens with their answers; and questions whether a copy of the store is up
+// to date, with their answers. Each is a JSON-RPC notification in a datagram of its own.
 
 #pragma once
 
@@ -45,14 +45,32 @@
     core::duration retry_after{0};
 };
 
-using peer_message =
-    std::variant<demand_report_message, demand_sums_message, token_request_message, token_answer_message>;
+// Asks an instance up to when it knows all changes of the store.
+struct confirmation_request_message {
+    std::string instance;
+    // Identifies the question; chosen by the sender and returned in the answer.
+    std::uint64_t number = 0;
+};
+
+struct confirmation_message {
+    // The number of the question.
+    std::uint64_t number = 0;
+    // The store's revision that the copy of the sender has reached.
+    std::uint64_t revision = 0;
+    // How long before this message was sent the copy contained every change.
+    core::duration age{0};
+};
+
+using peer_message = std::variant<demand_report_message, demand_sums_message, token_request_message,
+                                  token_answer_message, confirmation_request_message, confirmation_message>;
 
 // Return the message as the JSON text of a datagram.
 std::string to_text(const demand_report_message& message);
 std::string to_text(const demand_sums_message& message);
 std::string to_text(const token_request_message& message);
 std::string to_text(const token_answer_message& message);
+std::string to_text(const confirmation_request_message& message);
+std::string to_text(const confirmation_message& message);
 
 // Parses a datagram; the source names the sender in errors. Throws core::findings_error if the text is not a
 // valid message.
--- a/packages/edge/store_watcher.cpp
+++ b/packages/edge/store_watcher.cpp
@@ -56,6 +56,9 @@
     options.prefix = m_deployment.watch_prefix;
     options.watch_timeout = m_options.store_watch_timeout;
     options.watch_pause = m_options.store_watch_pause;
+    options.serving_watch_timeout = m_options.relay_watch_timeout;
+    options.serving_watch_pause = m_options.relay_watch_pause;
+    options.ask_pause = m_options.peer_ask_pause;
     options.retry_pause = m_options.store_retry_pause;
     options.list_interval = core::duration(0);
     store::prefix_mirror::hooks hooks;
@@ -65,6 +68,8 @@
     hooks.on_call_succeeded = [this] { on_call_succeeded(); };
     hooks.on_update = [this] { on_update(); };
     hooks.on_confirmed = [this](core::boot_instant sent) { on_confirmed(sent); };
+    hooks.mode = m_targets.watch_mode;
+    hooks.ask_peer = m_targets.ask_peer;
     return store::prefix_mirror::create(executor, m_store, options, hooks);
 }
 
--- a/packages/edge/store_watcher.h
+++ b/packages/edge/store_watcher.h
@@ -31,6 +31,9 @@
     registration& own_registration;
     // Called once, after the first configuration has been published.
     std::function<void()> on_configured;
+    // How the watcher learns of changes, and how it asks a peer; see store::prefix_mirror::hooks.
+    std::function<store::watch_mode()> watch_mode;
+    std::function<boost::asio::awaitable<std::optional<store::peer_confirmation>>()> ask_peer;
 };
 
 // Runs on the given executor, which must be single-threaded or a strand.
@@ -47,6 +50,8 @@
     void start();
     void stop();
 
+    // Returns what the copy of the store can confirm to other instances.
+    std::optional<store::peer_confirmation> confirmation() const { return m_mirror->confirmation(); }
     // Returns whether at least one listing of the store has succeeded.
     bool has_listed() const { return m_mirror->has_listed(); }
 
--- a/packages/edge/tests/edge_test.cpp
+++ b/packages/edge/tests/edge_test.cpp
@@ -206,6 +206,38 @@
     }
 }
 
+// Guards against instances of a region that ask different relays, against a relay in a region that is too
+// small for one, and against a relay that has fallen silent.
+TEST(fleet_membership, a_region_has_one_relay)
+{
+    const std::vector<std::string> all{"a", "b", "c", "d", "own"};
+    for (const std::string& name : all) {
+        membership.put(make_instance(name, "savo"), start);
+    }
+    for (const char* name : {"e", "f", "g"}) {
+        membership.put(make_instance(name, "uusimaa"), start);
+    }
+    const region_relay here = membership.find_relay("savo", start);
+    const std::string relay = here.is_own ? "own" : here.other->instance;
+    for (const std::string& name : all) {
+        fleet_membership other{{name, seconds(3), seconds(2)}};
+        for (const std::string& member : all) {
+            other.put(make_instance(member, "savo"), start);
+        }
+        const region_relay there = other.find_relay("savo", start);
+        CHECK_EQUAL(name == relay, there.is_own);
+        CHECK_TRUE(there.is_own || there.other->instance == relay);
+    }
+    const region_relay none = membership.find_relay("uusimaa", start);
+    CHECK_FALSE(none.is_own);
+    CHECK_FALSE(none.other.has_value());
+    if (!here.is_own) {
+        membership.record_silence_report("e", {relay}, start);
+        const region_relay next = membership.find_relay("savo", start);
+        CHECK_TRUE(next.is_own || next.other->instance != relay);
+    }
+}
+
 // Guards against lookups that return an instance from which no collector receives messages, and against
 // excluding an instance because a single network path failed.
 TEST(fleet_membership, an_instance_reported_silent_by_all_collectors_is_left_out_of_lookups)
--- a/packages/edge/tests/store_watcher_test.cpp
+++ b/packages/edge/tests/store_watcher_test.cpp
@@ -46,6 +46,7 @@
     result.instance = "own";
     result.store_watch_pause = milliseconds(1);
     result.store_retry_pause = milliseconds(1);
+    result.peer_ask_pause = milliseconds(1);
     return result;
 }
 
@@ -75,12 +76,23 @@
     const deployment_adapter adapter = make_adapter();
     const instance_options options = make_options();
     int configured_count = 0;
-    store_watcher watcher{
-        context.get_executor(),
-        test_store,
-        adapter,
-        options,
-        {state, balancer, membership, limits, reserve, *own_registration, [this] { ++configured_count; }}};
+    // The mode and the answers of the peer that the watcher asks, and how often it has asked.
+    store::watch_mode mode = store::watch_mode::own;
+    std::optional<store::peer_confirmation> peer_answer;
+    int ask_count = 0;
+    store_watcher watcher{context.get_executor(),
+                          test_store,
+                          adapter,
+                          options,
+                          {state, balancer, membership, limits, reserve, *own_registration,
+                           [this] { ++configured_count; }, [this] { return mode; },
+                           [this] { return ask_peer(); }}};
+
+    boost::asio::awaitable<std::optional<store::peer_confirmation>> ask_peer()
+    {
+        ++ask_count;
+        co_return peer_answer;
+    }
 
     // Runs the watcher until the condition holds. Returns whether it holds; the limit of 10 s only ends a
     // test that would hang.
@@ -154,3 +166,60 @@
     test_store->put("operators/configuration", "9");
     CHECK_TRUE(run_until([this] { return state.table()->version() == 9; }));
 }
+
+// Guards against calls to the store that grow with the number of instances: 119 instances made 6,000 calls on
+// a day on which little changed.
+TEST(store_watcher, no_call_is_made_while_a_peer_confirms_the_copy)
+{
+    mode = store::watch_mode::asking;
+    test_store->put("operators/configuration", "3");
+    watcher.start();
+    CHECK_TRUE(run_until([this] { return state.table() != nullptr; }));
+    const core::boot_instant as_of = core::boot_clock::now() + seconds(100);
+    peer_answer = store::peer_confirmation{watcher.confirmation()->revision, as_of};
+    const int asked_before = ask_count;
+    CHECK_TRUE(run_until([&] { return ask_count >= asked_before + 2; }));
+    const std::size_t calls = test_store->watch_timeouts().size();
+    CHECK_TRUE(run_until([&] { return ask_count >= asked_before + 20; }));
+    CHECK_EQUAL(calls, test_store->watch_timeouts().size());
+    CHECK(state.age(as_of) == core::boot_clock::duration(0));
+}
+
+// Guards against a revoked key that stays valid because a peer confirms a copy that lacks the newest change:
+// what the peer knows and this copy does not is read from the store, and confirms nothing before that.
+TEST(store_watcher, a_newer_revision_of_a_peer_is_read_from_the_store)
+{
+    mode = store::watch_mode::asking;
+    test_store->put("operators/configuration", "3");
+    watcher.start();
+    CHECK_TRUE(run_until([this] { return state.table() != nullptr; }));
+    test_store->put("operators/configuration", "4");
+    test_store->fail_calls(3);
+    const core::boot_instant as_of = core::boot_clock::now() + seconds(100);
+    peer_answer = store::peer_confirmation{watcher.confirmation()->revision + 1, as_of};
+    CHECK_TRUE(run_until([this] { return state.table()->version() == 4; }));
+    CHECK(test_store->watch_timeouts().back() < milliseconds(50));
+}
+
+// Guards against an instance that waits for a relay that has failed.
+TEST(store_watcher, the_store_is_watched_while_the_peer_does_not_answer)
+{
+    mode = store::watch_mode::asking;
+    test_store->put("operators/configuration", "3");
+    watcher.start();
+    CHECK_TRUE(run_until([this] { return state.table() != nullptr; }));
+    test_store->put("operators/configuration", "4");
+    CHECK_TRUE(run_until([this] { return state.table()->version() == 4; }));
+    CHECK(ask_count > 0);
+}
+
+// Guards against a relay whose own knowledge is too old to be of use for those that ask it.
+TEST(store_watcher, a_relay_watches_at_shorter_intervals)
+{
+    mode = store::watch_mode::serving;
+    test_store->put("operators/configuration", "3");
+    watcher.start();
+    CHECK_TRUE(run_until([this] { return test_store->watch_timeouts().size() >= 2; }));
+    CHECK(test_store->watch_timeouts().back() < options.store_watch_timeout);
+    CHECK_EQUAL(0, ask_count);
+}
--- a/packages/edge/token_client.cpp
+++ b/packages/edge/token_client.cpp
@@ -25,8 +25,8 @@
 // Minimum time before a workspace is asked for again after a rejection, for rejections that give no
 // retry-after time.
 constexpr core::duration min_rejection_pause = std::chrono::milliseconds(20);
-// Time before a workspace is asked for again after no collector has answered. The collectors are overloaded or
-// out of reach; further requests would add to their load and wait in vain.
+// Time before a workspace is asked for again after no collector has answered. The collectors are overloaded
+// or out of reach; further requests would add to their load and wait in vain.
 constexpr core::duration unanswered_pause = std::chrono::milliseconds(250);
 // Requests of a workspace that wait for an answer at the same time. So many are waiting only if the workspace
 // asks for far more than its limit or if the collectors do not answer in time.
@@ -34,38 +34,23 @@
 
 } // namespace
 
-token_client::token_client(asio::any_io_executor executor, std::string own_instance, hooks callbacks)
-    : m_executor(std::move(executor)),
-      m_own_instance(std::move(own_instance)),
+token_client::token_client(const asio::any_io_executor& executor, std::string own_instance, hooks callbacks)
+    : m_own_instance(std::move(own_instance)),
       m_hooks(std::move(callbacks)),
-      m_unanswered_lines(unanswered_lines_per_second)
+      m_unanswered_lines(unanswered_lines_per_second),
+      m_pending(executor)
 {
 }
 
-void token_client::handle_answer(const token_answer_message& answer)
-{
-    const std::map<std::uint64_t, std::shared_ptr<pending_request>>::const_iterator found =
-        m_pending.find(answer.number);
-    if (found != m_pending.end()) {
-        found->second->answer = answer;
-        found->second->timer.cancel();
-    }
-}
-
 asio::awaitable<std::optional<token_answer_message>>
 token_client::ask_collector(const instance_record& collector, const std::string& workspace)
 {
-    const std::uint64_t number = m_next_number++;
+    const std::uint64_t number = m_pending.take_number();
     if (!m_hooks.send(collector, to_text(token_request_message{m_own_instance, number, workspace}))) {
         co_return std::nullopt;
     }
-    const std::shared_ptr<pending_request> pending = std::make_shared<pending_request>(
-        pending_request{asio::steady_timer(m_executor, answer_timeout), {}});
-    m_pending.emplace(number, pending);
-    boost::system::error_code ignored;
-    co_await pending->timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
-    m_pending.erase(number);
-    if (!pending->answer) {
+    const std::optional<token_answer_message> answer = co_await m_pending.wait(number, answer_timeout);
+    if (!answer) {
         if (const std::optional<std::uint64_t> skipped =
                 m_unanswered_lines.try_take(std::chrono::steady_clock::now())) {
             core::info_event("token_not_answered")
@@ -74,7 +59,7 @@
                 .with("lines_skipped", *skipped);
         }
     }
-    co_return pending->answer;
+    co_return answer;
 }
 
 std::optional<core::duration> token_client::find_pause(const std::string& workspace, core::instant now) const
@@ -96,8 +81,7 @@
 asio::awaitable<quota::quota_decision> token_client::request_token(std::string workspace)
 {
     quota::quota_decision result;
-    const std::optional<core::duration> paused_for =
-        find_pause(workspace, std::chrono::steady_clock::now());
+    const std::optional<core::duration> paused_for = find_pause(workspace, std::chrono::steady_clock::now());
     std::size_t& waiting = m_waiting[workspace];
     if (paused_for || waiting >= max_waiting_requests) {
         result.retry_after = paused_for.value_or(answer_timeout);
--- a/packages/edge/token_client.h
+++ b/packages/edge/token_client.h
@@ -6,6 +6,7 @@
 #include "core/log_throttle.h"
 #include "edge/instance_record.h"
 #include "edge/peer_message.h"
+#include "edge/pending_answers.h"
 #include "quota/fleet_quota.h"
 
 #include <boost/asio/any_io_executor.hpp>
@@ -14,8 +15,8 @@
 
 #include <functional>
 #include <map>
-#include <mutex>
 #include <memory>
+#include <mutex>
 #include <optional>
 #include <string>
 #include <vector>
@@ -37,7 +38,7 @@
         std::function<quota::quota_decision(const std::string& workspace)> grant;
     };
 
-    token_client(boost::asio::any_io_executor executor, std::string own_instance, hooks callbacks);
+    token_client(const boost::asio::any_io_executor& executor, std::string own_instance, hooks callbacks);
 
     token_client(const token_client&) = delete;
     token_client& operator=(const token_client&) = delete;
@@ -53,25 +54,17 @@
     std::optional<core::duration> find_pause(const std::string& workspace, core::instant now) const;
 
     // Handles the answer to a request. An answer that arrives after the timeout of its request is dropped.
-    void handle_answer(const token_answer_message& answer);
+    void handle_answer(const token_answer_message& answer) { m_pending.handle(answer); }
 
 private:
-    struct pending_request {
-        boost::asio::steady_timer timer;
-        std::optional<token_answer_message> answer;
-    };
-
     boost::asio::awaitable<std::optional<token_answer_message>>
     ask_collector(const instance_record& collector, const std::string& workspace);
     void pause(const std::string& workspace, core::instant until);
 
-    boost::asio::any_io_executor m_executor;
     std::string m_own_instance;
     hooks m_hooks;
     core::log_throttle m_unanswered_lines;
-    std::uint64_t m_next_number = 0;
-    // Requests that wait for an answer, by number.
-    std::map<std::uint64_t, std::shared_ptr<pending_request>> m_pending;
+    pending_answers<token_answer_message> m_pending;
     // The number of requests that wait for an answer, by workspace.
     std::map<std::string, std::size_t> m_waiting;
     mutable std::mutex m_pause_mutex;
--- a/packages/store/prefix_mirror.cpp
+++ b/packages/store/prefix_mirror.cpp
@@ -86,22 +86,62 @@
 {
     const std::shared_ptr<prefix_mirror> self = shared_from_this();
     while (!m_watch_timer.is_stopped()) {
-        bool has_failed = !m_has_listed;
+        core::duration pause = m_options.retry_pause;
         try {
-            if (m_has_listed && m_consecutive_failures >= failures_before_listing) {
-                co_await list_once();
-                m_watched_revision = m_revision;
-            } else if (m_has_listed) {
-                co_await watch_once();
+            if (m_has_listed) {
+                pause = co_await update_once();
             }
         } catch (const std::exception& error) {
-            has_failed = true;
             count_failure(error);
         }
-        co_await m_watch_timer.wait(has_failed ? m_options.retry_pause : m_options.watch_pause);
+        co_await m_watch_timer.wait(pause);
     }
 }
 
+asio::awaitable<core::duration> prefix_mirror::update_once()
+{
+    const watch_mode mode = m_hooks.mode ? m_hooks.mode() : watch_mode::own;
+    m_is_behind_peer = false;
+    if (mode == watch_mode::asking) {
+        const bool is_confirmed = co_await ask_peer();
+        if (is_confirmed || m_watch_timer.is_stopped()) {
+            co_return m_options.ask_pause;
+        }
+    }
+    if (m_consecutive_failures >= failures_before_listing) {
+        co_await list_once();
+        m_watched_revision = m_revision;
+    } else if (mode == watch_mode::serving) {
+        co_await watch(m_options.serving_watch_timeout);
+        co_return m_options.serving_watch_pause;
+    } else {
+        co_await watch_once();
+    }
+    co_return m_is_behind_peer ? m_options.ask_pause : m_options.watch_pause;
+}
+
+asio::awaitable<bool> prefix_mirror::ask_peer()
+{
+    const std::optional<peer_confirmation> answer = co_await m_hooks.ask_peer();
+    if (!answer || m_watch_timer.is_stopped()) {
+        co_return false;
+    }
+    m_is_behind_peer = answer->revision > m_revision;
+    if (m_is_behind_peer) {
+        co_return false;
+    }
+    if (m_hooks.on_call_succeeded) {
+        m_hooks.on_call_succeeded();
+    }
+    report_confirmed(answer->as_of);
+    co_return true;
+}
+
+std::optional<peer_confirmation> prefix_mirror::confirmation() const
+{
+    return m_has_listed ? std::optional<peer_confirmation>({m_revision, m_confirmed_as_of}) : std::nullopt;
+}
+
 asio::awaitable<void> prefix_mirror::list_once()
 {
     const std::uint64_t known = m_revision;
@@ -189,6 +229,7 @@
 void prefix_mirror::report_confirmed(core::boot_instant sent_at)
 {
     m_consecutive_failures = 0;
+    m_confirmed_as_of = std::max(m_confirmed_as_of, sent_at);
     if (std::exchange(m_is_failing, false)) {
         core::info_event("store_regained").with("prefix", m_options.prefix).with("revision", m_revision);
     }
@@ -198,14 +239,20 @@
 }
 
 asio::awaitable<void> prefix_mirror::watch_once()
+{
+    co_await watch(m_options.watch_timeout);
+}
+
+asio::awaitable<void> prefix_mirror::watch(core::duration timeout)
 {
     const std::uint64_t after = m_watched_revision;
     ++m_statistics.watches;
     const core::boot_instant sent_at = core::boot_clock::now();
-    // After a failure the copy may be out of date, so the watch should return immediately.
-    const core::duration timeout =
-        m_is_failing ? std::min(m_options.watch_timeout, catch_up_watch_timeout) : m_options.watch_timeout;
-    const watch_result found = co_await m_client->watch(m_options.prefix, after, timeout);
+    // After a failure or an answer of a peer the copy may be out of date, so the watch should return
+    // immediately.
+    const core::duration used_timeout =
+        m_is_failing || m_is_behind_peer ? std::min(timeout, catch_up_watch_timeout) : timeout;
+    const watch_result found = co_await m_client->watch(m_options.prefix, after, used_timeout);
     if (m_watch_timer.is_stopped()) {
         co_return;
     }
--- a/packages/store/prefix_mirror.h
+++ b/packages/store/prefix_mirror.h
@@ -9,6 +9,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 
 namespace quetzalspan::store
 {
@@ -20,6 +21,11 @@
     // Pause after each watch. The next watch returns all changes made during the pause at once, so that n
     // members that renew their records do not cause n calls per second from each member.
     core::duration watch_pause = std::chrono::milliseconds(500);
+    // The same two in the mode watch_mode::serving.
+    core::duration serving_watch_timeout = std::chrono::milliseconds(400);
+    core::duration serving_watch_pause = std::chrono::milliseconds(200);
+    // Pause after each question to a peer.
+    core::duration ask_pause = std::chrono::milliseconds(900);
     // Pause after a call that failed.
     core::duration retry_pause = std::chrono::milliseconds(500);
     // A watch can stall without an error; periodic listings bound how long the copy can then be out of date.
@@ -28,6 +34,23 @@
     core::duration list_interval = std::chrono::seconds(5);
 };
 
+// What another holder of a copy says about the store: at the time as_of, its revision was the given one or a
+// lower one.
+struct peer_confirmation {
+    std::uint64_t revision = 0;
+    core::boot_instant as_of;
+};
+
+// How a mirror learns of changes.
+enum class watch_mode {
+    // By its own watches.
+    own,
+    // By its own watches, at the shorter intervals of a copy that others ask for confirmations.
+    serving,
+    // By asking a peer, with a call to the store only if the peer knows a newer revision or does not answer.
+    asking,
+};
+
 struct mirror_statistics {
     std::uint64_t lists = 0;
     std::uint64_t watches = 0;
@@ -52,6 +75,11 @@
         // Called after the result of a call was applied, with the time at which the call was sent. The copy
         // then contains every change that the store acknowledged before that time.
         std::function<void(core::boot_instant)> on_confirmed;
+        // Returns the present mode. Without this hook, it is watch_mode::own.
+        std::function<watch_mode()> mode;
+        // Asks a peer in the mode watch_mode::asking. Returns no value if it does not answer or knows nothing
+        // recent.
+        std::function<boost::asio::awaitable<std::optional<peer_confirmation>>()> ask_peer;
         // Called with the revision of the listing and the highest one known before the copy is replaced by an
         // older state of the store.
         std::function<void(std::uint64_t, std::uint64_t)> on_regression;
@@ -70,6 +98,10 @@
     boost::asio::awaitable<void> list_once();
     boost::asio::awaitable<void> watch_once();
 
+    // Returns what this copy can confirm to a peer: its revision, and the time up to which it contains all
+    // changes. No value before the first listing has succeeded.
+    std::optional<peer_confirmation> confirmation() const;
+
     // Returns whether a listing has succeeded. Until then the copy is empty.
     bool has_listed() const { return m_has_listed; }
     const std::map<std::string, store_entry>& entries() const { return m_entries; }
@@ -83,6 +115,11 @@
 
     boost::asio::awaitable<void> run_lists();
     boost::asio::awaitable<void> run_watches();
+    // Brings the copy up to date in the present mode. Returns the pause before the next time.
+    boost::asio::awaitable<core::duration> update_once();
+    // Returns whether a peer has confirmed the copy, so that no call to the store is needed.
+    boost::asio::awaitable<bool> ask_peer();
+    boost::asio::awaitable<void> watch(core::duration timeout);
     void count_failure(const std::exception& error);
     void report_confirmed(core::boot_instant sent_at);
     void replace_entries(std::map<std::string, store_entry> entries);
@@ -100,6 +137,10 @@
     bool m_is_failing = false;
     unsigned m_consecutive_failures = 0;
     std::uint64_t m_revision = 0;
+    // The copy contains every change that the store acknowledged before this time.
+    core::boot_instant m_confirmed_as_of;
+    // Whether the last answer of a peer named a newer revision.
+    bool m_is_behind_peer = false;
     // The revision after which the next watch continues. Lower than m_revision if a listing was newer than
     // the last watch.
     std::uint64_t m_watched_revision = 0;
