Placement: Hear endpoints that leave or ask for a pause

Cause: an endpoint now says in any response that it is leaving, and one that turns a request away with 503 may say for how long it wants no request. Neither was read, so an endpoint got new requests until its record changed, and at once after it had refused one.

Change: the leaving field takes an endpoint out of use until it starts anew, also if its record is lost and comes back. Retry-After of a 503, in seconds with or without a fraction and at most 60 s, excludes the endpoint for that time. If all endpoints of a service have asked for a pause, requests are rejected at once with the time of the first, spread over 500 ms. Both are counted and logged.

--- a/packages/caller/endpoint_lease.h
+++ b/packages/caller/endpoint_lease.h
@@ -21,8 +21,10 @@
     std::optional<dispatch::failure> failure;
     // HTTP status of the response; 0 if there was none.
     unsigned status = 0;
-    // Whether the response announced that the endpoint is draining.
+    // Whether a response announced that the endpoint is draining.
     bool is_draining = false;
+    // For how long the endpoint asked for no further request; no value if it did not.
+    std::optional<core::duration> wait;
     // Whether the endpoint was contacted. If not, the result says nothing about its health.
     bool was_contacted = false;
     // Time from the creation of the lease to the response's header, and to the end of the attempt.
--- a/packages/caller/request_exchange_response.cpp
+++ b/packages/caller/request_exchange_response.cpp
@@ -43,7 +43,12 @@
     for (unsigned other_responses = 0;; ++other_responses) {
         const beast::http::response_header<>& header = exchange.response().get().base();
         result.status = header.result_int();
-        result.is_draining = dispatch::is_drain_response(result.status, header, profile);
+        // An answer to another request also comes from this endpoint.
+        result.is_draining =
+            result.is_draining || dispatch::is_drain_response(result.status, header, profile);
+        const std::optional<core::duration> wait =
+            dispatch::find_upstream_wait(result.status, header, profile);
+        result.wait = wait ? wait : result.wait;
         if (!profile.load_field.empty()) {
             result.load_report = std::string(header[profile.load_field]);
         }
--- a/packages/dispatch/header_rules.cpp
+++ b/packages/dispatch/header_rules.cpp
@@ -373,6 +373,9 @@
     if (!length.empty()) {
         fields.set(beast::http::field::content_length, length);
     }
+    if (!profile.leaving_field.empty()) {
+        fields.erase(profile.leaving_field);
+    }
     fields.set(profile.request_id_field, request_id);
 }
 
@@ -387,10 +390,40 @@
 
 bool is_drain_response(unsigned status, const fields_type& fields, const message_profile& profile)
 {
+    if (!profile.leaving_field.empty() && has_field_value(fields, profile.leaving_field, "1")) {
+        return true;
+    }
     return !profile.reason_field.empty() && is_shed_response(status, fields, profile) &&
            has_field_value(fields, profile.reason_field, "draining");
 }
 
+std::optional<core::duration> find_upstream_wait(unsigned status, const fields_type& fields,
+                                                 const message_profile& profile)
+{
+    constexpr unsigned service_unavailable = 503;
+    if (!profile.has_upstream_retry_after || status != service_unavailable ||
+        fields.count(beast::http::field::retry_after) != 1) {
+        return std::nullopt;
+    }
+    const beast::string_view value = fields[beast::http::field::retry_after];
+    const std::string_view text = trim(std::string_view(value.data(), value.size()));
+    double seconds = 0;
+    const std::from_chars_result parsed =
+        std::from_chars(text.data(), text.data() + text.size(), seconds, std::chars_format::fixed);
+    const bool is_too_large = parsed.ec == std::errc::result_out_of_range && text.front() != '-';
+    if (is_too_large && parsed.ptr == text.data() + text.size()) {
+        return max_upstream_wait;
+    }
+    // The comparison is false for a value that is not a number.
+    if (parsed.ec != std::errc() || parsed.ptr != text.data() + text.size() || !(seconds > 0)) {
+        return std::nullopt;
+    }
+    if (seconds >= core::to_seconds(max_upstream_wait)) {
+        return max_upstream_wait;
+    }
+    return std::chrono::duration_cast<core::duration>(std::chrono::duration<double>(seconds));
+}
+
 std::string_view find_cookie(const fields_type& fields, std::string_view name)
 {
     const std::pair<fields_type::const_iterator, fields_type::const_iterator> cookies =
--- a/packages/dispatch/header_rules.h
+++ b/packages/dispatch/header_rules.h
@@ -66,10 +66,20 @@
 bool is_shed_response(unsigned status, const boost::beast::http::fields& fields,
                       const message_profile& profile = default_message_profile());
 
-// Returns whether an upstream's response says that the upstream shed the request because it is draining.
+// Returns whether an upstream's response says that the upstream is leaving, by the profile's leaving field or
+// by having shed the request for that reason.
 bool is_drain_response(unsigned status, const boost::beast::http::fields& fields,
                        const message_profile& profile = default_message_profile());
 
+// The longest wait that an upstream can ask for. A longer one is shortened to it.
+inline constexpr core::duration max_upstream_wait = std::chrono::seconds(60);
+
+// Returns for how long an upstream that responds with status 503 wants no request, from its Retry-After in
+// seconds with or without a fraction. Returns no value if it has none, if it is zero, negative or not such a
+// number, or if the profile gives the field no such meaning.
+std::optional<core::duration> find_upstream_wait(unsigned status, const boost::beast::http::fields& fields,
+                                                 const message_profile& profile = default_message_profile());
+
 // Returns the value of the first cookie of that name in a request; an empty text if there is none. The result
 // refers to memory of the fields.
 std::string_view find_cookie(const boost::beast::http::fields& fields, std::string_view name);
--- a/packages/dispatch/message_profile.h
+++ b/packages/dispatch/message_profile.h
@@ -35,6 +35,12 @@
     // In a response of an upstream: the numbers of running requests, waiting requests and slots, separated by
     // commas.
     std::string load_field;
+    // In a response of an upstream: the value 1 says that the upstream is leaving and wants no new requests.
+    // Not passed on to callers.
+    std::string leaving_field;
+    // Whether Retry-After in a response of an upstream with status 503 says for how long the upstream wants
+    // no request of this instance.
+    bool has_upstream_retry_after = false;
     // The cookie whose value identifies the object that a request concerns, for routing by affinity.
     std::string affinity_cookie;
     // Whether a request identifier that the caller sends is kept and passed on.
--- a/packages/dispatch/tests/header_and_retry_test.cpp
+++ b/packages/dispatch/tests/header_and_retry_test.cpp
@@ -53,6 +53,64 @@
     CHECK(header["Quetzal-Deadline-Ms"] == "250");
 }
 
+// Guards against a wait that a malformed or extreme value makes negative, endless or undefined, and against a
+// wait that is taken from a response that does not turn the request away.
+TEST(header_rules, the_wait_of_an_upstream_is_read_from_valid_values_only)
+{
+    dispatch::message_profile profile;
+    profile.has_upstream_retry_after = true;
+    struct wait_case {
+        const char* value;
+        std::optional<core::duration> wait;
+    };
+    const std::vector<wait_case> cases{
+        {"2", std::chrono::seconds(2)},
+        {"0.25", std::chrono::milliseconds(250)},
+        {" 1.5 ", std::chrono::milliseconds(1500)},
+        {"0", std::nullopt},
+        {"0.0", std::nullopt},
+        {"-3", std::nullopt},
+        {"", std::nullopt},
+        {"soon", std::nullopt},
+        {"1s", std::nullopt},
+        {"nan", std::nullopt},
+        {"-inf", std::nullopt},
+        {"1e3", std::nullopt},
+        {"Wed, 21 Oct 2026 07:28:00 GMT", std::nullopt},
+        {"3600", dispatch::max_upstream_wait},
+        {"99999999999999999999999999", dispatch::max_upstream_wait},
+    };
+    for (const wait_case& expected : cases) {
+        fields header;
+        header.insert("Retry-After", expected.value);
+        CHECK(dispatch::find_upstream_wait(503, header, profile) == expected.wait);
+        CHECK_FALSE(dispatch::find_upstream_wait(429, header, profile).has_value());
+        CHECK_FALSE(dispatch::find_upstream_wait(503, header).has_value());
+    }
+    fields twice;
+    twice.insert("Retry-After", "1");
+    twice.insert("Retry-After", "2");
+    CHECK_FALSE(dispatch::find_upstream_wait(503, twice, profile).has_value());
+    CHECK_FALSE(dispatch::find_upstream_wait(503, fields(), profile).has_value());
+}
+
+// Guards against an upstream that says it is leaving and is not heard, and against passing this on to
+// callers.
+TEST(header_rules, an_upstream_says_in_a_response_that_it_is_leaving)
+{
+    dispatch::message_profile profile;
+    profile.leaving_field = "Upstream-Leaving";
+    fields header;
+    CHECK_FALSE(dispatch::is_drain_response(200, header, profile));
+    header.insert("Upstream-Leaving", "0");
+    CHECK_FALSE(dispatch::is_drain_response(200, header, profile));
+    header.set("Upstream-Leaving", "1");
+    CHECK_TRUE(dispatch::is_drain_response(200, header, profile));
+    CHECK_FALSE(dispatch::is_drain_response(200, header));
+    dispatch::prepare_caller_response(header, "id", profile);
+    LONGS_EQUAL(0, header.count("Upstream-Leaving"));
+}
+
 // Guards against an upstream that sets control fields of quetzalspan in its response, and against the loss of
 // Content-Length when the upstream names it in Connection.
 TEST(header_rules, control_fields_are_removed_from_responses)
--- a/packages/edge/endpoint_balancer.cpp
+++ b/packages/edge/endpoint_balancer.cpp
@@ -3,6 +3,7 @@
 #include "edge/endpoint_balancer.h"
 
 #include "core/log_event.h"
+#include "core/stable_hash.h"
 
 #include <algorithm>
 
@@ -30,6 +31,10 @@
           metrics.get_counter("upstream_spilled_total",
                               "Requests sent to another endpoint than the first choice of their object.")),
       m_ejections(metrics.get_counter("upstream_ejections_total", "Endpoints passed over after failures.")),
+      m_leaving(metrics.get_counter("upstream_leaving_total",
+                                    "Endpoints that said in a response that they are leaving.")),
+      m_waits(metrics.get_counter("upstream_waits_total",
+                                  "Responses in which an endpoint asked for no request for a while.")),
       m_no_endpoint_lines(no_endpoint_lines_per_second),
       m_catalog(m_options.catalog, {log_change, [this](std::string_view service) {
                                         const routing::service* service_config =
@@ -92,7 +97,7 @@
         placement::select_endpoint(m_catalog, criteria, m_position, m_options.choice, now);
     if (!chosen.target) {
         log_no_endpoint(request, chosen, now);
-        return caller::rejection{dispatch::failure::no_permit, m_options.busy_retry_after};
+        return caller::rejection{dispatch::failure::no_permit, compute_retry_after(request, chosen)};
     }
     m_spilled.add(chosen.is_spilled ? 1 : 0);
     m_sends.add();
@@ -102,6 +107,19 @@
     return make_lease(chosen.target, request, now);
 }
 
+core::duration endpoint_balancer::compute_retry_after(const attempt_request& request,
+                                                      const placement::endpoint_selection& chosen) const
+{
+    if (!chosen.earliest_wait) {
+        return m_options.busy_retry_after;
+    }
+    // Callers return one after the other, not all when the first endpoint takes requests again.
+    constexpr std::uint64_t steps = 16;
+    const std::uint64_t step = core::stable_hash(request.request_id) % steps;
+    return std::max(*chosen.earliest_wait, m_options.busy_retry_after) +
+           m_options.wait_spread * static_cast<std::int64_t>(step) / static_cast<std::int64_t>(steps);
+}
+
 void endpoint_balancer::log_no_endpoint(const attempt_request& request,
                                         const placement::endpoint_selection& chosen, core::instant now)
 {
@@ -174,6 +192,17 @@
     const attempt_outcome outcome = classify_attempt(result);
     const std::lock_guard<std::mutex> guard(m_mutex);
     --target->outstanding_requests;
+    if (result.is_draining && m_catalog.mark_leaving(*target)) {
+        m_leaving.add();
+    }
+    if (result.wait) {
+        target->waits_until = std::max(target->waits_until, now + *result.wait);
+        m_waits.add();
+        core::info_event("endpoint_waits")
+            .with("request_id", request_id)
+            .with("endpoint", target->record.id)
+            .with("for_ms", core::to_milliseconds(*result.wait));
+    }
     const bool is_ejected =
         placement::record_outcome(*target, outcome, sent, result.time_to_header, m_options.health, now);
     if (is_ejected) {
--- a/packages/edge/endpoint_balancer.h
+++ b/packages/edge/endpoint_balancer.h
@@ -36,6 +36,8 @@
     double cold_limit_utilization = 0.85;
     // Retry-after time given to callers when no endpoint can take the request.
     core::duration busy_retry_after = std::chrono::milliseconds(60);
+    // The time over which callers return after all endpoints of a service have asked for no request.
+    core::duration wait_spread = std::chrono::milliseconds(500);
 };
 
 // The properties of a request that the choice of an endpoint depends on.
@@ -85,6 +87,8 @@
 
 private:
     placement::cold_limit compute_cold_limit(const routing::service* service_config) const;
+    core::duration compute_retry_after(const attempt_request& request,
+                                       const placement::endpoint_selection& chosen) const;
     void log_no_endpoint(const attempt_request& request, const placement::endpoint_selection& chosen,
                          core::instant now);
     caller::endpoint_lease make_lease(const placement::endpoint_pointer& target,
@@ -102,6 +106,8 @@
     burn::counter& m_sends;
     burn::counter& m_spilled;
     burn::counter& m_ejections;
+    burn::counter& m_leaving;
+    burn::counter& m_waits;
     core::log_throttle m_no_endpoint_lines;
     mutable std::mutex m_mutex;
     // The rest is guarded by m_mutex.
--- a/packages/placement/endpoint.h
+++ b/packages/placement/endpoint.h
@@ -23,6 +23,8 @@
     // When its record was found missing. The endpoint is removed from the catalog after the grace period for
     // missing records; until then it may receive requests.
     std::optional<core::instant> missing_since;
+    // Whether it has said in a response that it is leaving. Holds until it starts anew.
+    bool is_leaving = false;
     // Whether its availability zone is being evacuated.
     bool is_evacuated = false;
     // Whether it was removed from the catalog. Requests in flight keep the object alive after that.
@@ -53,6 +55,8 @@
     core::duration average_latency{0};
     // Until this time other endpoints are preferred because it is much slower than the others of its service.
     core::instant slow_until;
+    // Until this time it receives no request, because it asked for that when it turned one away.
+    core::instant waits_until;
     // Until this time other endpoints are preferred because it rejected a request.
     core::instant busy_until;
 };
--- a/packages/placement/endpoint_catalog.cpp
+++ b/packages/placement/endpoint_catalog.cpp
@@ -9,10 +9,18 @@
 namespace quetzalspan::placement
 {
 
+namespace
+{
+
+// Bounds the memory for endpoints that have left; far more than leave while their records can come back.
+constexpr std::size_t max_left_incarnations = 10'000;
+
+} // namespace
+
 bool may_receive(const endpoint& candidate)
 {
-    return candidate.record.phase == endpoint_phase::serving && !candidate.is_evacuated &&
-           !candidate.is_removed;
+    return candidate.record.phase == endpoint_phase::serving && !candidate.is_leaving &&
+           !candidate.is_evacuated && !candidate.is_removed;
 }
 
 endpoint_catalog::endpoint_catalog(catalog_options options, hooks callbacks)
@@ -51,6 +59,8 @@
     added->record = record;
     added->id_hash = core::stable_hash(record.id);
     added->known_since = now;
+    const std::map<std::string, std::uint64_t>::const_iterator left = m_left_incarnations.find(record.id);
+    added->is_leaving = left != m_left_incarnations.end() && record.incarnation <= left->second;
     added->is_evacuated = m_evacuated_zones.contains(record.availability_zone);
     added->cold_until = now + record.remaining_cold_time;
     if (!is_first_listing && m_hooks.get_cold_duration) {
@@ -131,9 +141,31 @@
     }
 }
 
+bool endpoint_catalog::mark_leaving(endpoint& subject)
+{
+    if (subject.is_leaving) {
+        return false;
+    }
+    subject.is_leaving = true;
+    notify_change(catalog_change::leaving, subject);
+    return true;
+}
+
+void endpoint_catalog::remember_if_leaving(const endpoint& removed)
+{
+    if (!removed.is_leaving && removed.record.phase != endpoint_phase::draining) {
+        return;
+    }
+    if (m_left_incarnations.size() >= max_left_incarnations) {
+        m_left_incarnations.erase(m_left_incarnations.begin());
+    }
+    m_left_incarnations[removed.record.id] = removed.record.incarnation;
+}
+
 void endpoint_catalog::erase(std::map<std::string, endpoint_pointer>::iterator entry)
 {
     const endpoint_pointer removed = entry->second;
+    remember_if_leaving(*removed);
     remove_from_service(*removed);
     m_endpoints.erase(entry);
     removed->is_removed = true;
--- a/packages/placement/endpoint_catalog.h
+++ b/packages/placement/endpoint_catalog.h
@@ -32,6 +32,8 @@
     restarted,
     updated,
     draining,
+    // It said in a response that it is leaving.
+    leaving,
     missing,
     removed,
     outdated_record_ignored,
@@ -39,11 +41,12 @@
     evacuation_ended,
 };
 
-inline constexpr core::name_table catalog_change_names{std::array<core::named_value<catalog_change>, 9>{{
+inline constexpr core::name_table catalog_change_names{std::array<core::named_value<catalog_change>, 10>{{
     {catalog_change::added, "added"},
     {catalog_change::restarted, "restarted"},
     {catalog_change::updated, "updated"},
     {catalog_change::draining, "draining"},
+    {catalog_change::leaving, "leaving"},
     {catalog_change::missing, "missing"},
     {catalog_change::removed, "removed"},
     {catalog_change::outdated_record_ignored, "outdated-record-ignored"},
@@ -89,6 +92,9 @@
     // longer evacuated become cold.
     void set_evacuated_zones(const std::set<std::string>& zones, core::instant now);
 
+    // Handles that an endpoint has said in a response that it is leaving. Returns whether this was not known.
+    bool mark_leaving(endpoint& subject);
+
     // Returns the endpoints of a service in ascending order of their ids; empty if there are none.
     const std::vector<endpoint_pointer>& find_service(std::string_view service) const;
 
@@ -99,6 +105,7 @@
 private:
     void add(const endpoint_record& record, core::instant now, bool is_first_listing);
     void update(endpoint& existing, const endpoint_record& record, core::instant now);
+    void remember_if_leaving(const endpoint& removed);
     void erase(std::map<std::string, endpoint_pointer>::iterator entry);
     void add_to_service(const endpoint_pointer& added);
     void remove_from_service(const endpoint& removed);
@@ -109,6 +116,9 @@
     hooks m_hooks;
     // Keyed by the id of the endpoint.
     std::map<std::string, endpoint_pointer> m_endpoints;
+    // The incarnations that were leaving when they were removed, by id. A record of one of them may come
+    // back, for example after an outage of the record store.
+    std::map<std::string, std::uint64_t> m_left_incarnations;
     // Keyed by the name of the service; each list is sorted by id.
     std::map<std::string, std::vector<endpoint_pointer>, std::less<>> m_services;
     std::set<std::string> m_evacuated_zones;
@@ -116,7 +126,8 @@
     core::instant m_grace_until;
 };
 
-// Returns whether new requests may be sent to the endpoint: it is serving, not evacuated and not removed.
+// Returns whether new requests may be sent to the endpoint: it is serving, not leaving, not evacuated and not
+// removed.
 bool may_receive(const endpoint& candidate);
 
 } // namespace quetzalspan::placement
--- a/packages/placement/endpoint_selection.cpp
+++ b/packages/placement/endpoint_selection.cpp
@@ -78,6 +78,7 @@
     penalty_level selected_penalty = penalty_level::unavailable;
     double selected_score = 0;
     double lowest_score = 0;
+    std::uint32_t waiting = 0;
     for (const endpoint_pointer& entry : catalog.find_service(request.service)) {
         if (!is_candidate(*entry, request)) {
             continue;
@@ -89,6 +90,12 @@
         const double weight = (is_own_region ? options.own_region_weight : 1.0) * region_weight;
         const double score = -std::log(hash_to_unit_interval(object_hash, entry->id_hash)) / weight;
         lowest_score = result.candidates == 1 ? score : std::min(lowest_score, score);
+        if (now < entry->waits_until) {
+            ++waiting;
+            const core::duration wait = entry->waits_until - now;
+            result.earliest_wait = std::min(result.earliest_wait.value_or(wait), wait);
+            continue;
+        }
         const penalty_level level = compute_penalty(*entry, request, fleet, options, now);
         if (level == penalty_level::unavailable) {
             continue;
@@ -106,6 +113,9 @@
         }
     }
     result.is_spilled = result.target && selected_score > lowest_score;
+    if (result.target || waiting < result.candidates) {
+        result.earliest_wait.reset();
+    }
     result.fault = result.candidates == 0 ? endpoint_selection_error::no_endpoint
                                           : endpoint_selection_error::at_capacity;
     return result;
--- a/packages/placement/endpoint_selection.h
+++ b/packages/placement/endpoint_selection.h
@@ -66,6 +66,9 @@
     endpoint_pointer target;
     // Valid only if target is null.
     endpoint_selection_error fault = endpoint_selection_error::no_endpoint;
+    // If target is null and all endpoints that may serve the request have asked for no request for a while:
+    // the time until the first of them may receive one again. Otherwise no value.
+    std::optional<core::duration> earliest_wait;
     // Whether the object's order prefers another endpoint that may serve the request.
     bool is_spilled = false;
     // The number of endpoints that may serve the request and were not tried before.
--- a/packages/placement/tests/catalog_test.cpp
+++ b/packages/placement/tests/catalog_test.cpp
@@ -76,6 +76,25 @@
     CHECK_EQUAL(1U, endpoints.find_service("orders").size());
 }
 
+// Guards against new requests to an endpoint that has said in a response that it is leaving, while its record
+// does not tell yet; also after its record was lost with the store and came back.
+TEST(endpoint_catalog, an_endpoint_that_said_it_leaves_receives_nothing_until_it_starts_anew)
+{
+    endpoints.apply(make_record("a", 10, 1), at_ms(0), true);
+    endpoints.apply(make_record("b", 10, 1), at_ms(0), true);
+    endpoints.apply(make_record("c", 10, 1), at_ms(0), true);
+    CHECK_TRUE(endpoints.mark_leaving(*endpoints.find("a")));
+    CHECK_FALSE(endpoints.mark_leaving(*endpoints.find("a")));
+    CHECK_FALSE(may_receive_requests("a"));
+    endpoints.apply(make_record("a", 10, 2), at_ms(10), false);
+    CHECK_FALSE(may_receive_requests("a"));
+    endpoints.remove("a", at_ms(20));
+    endpoints.apply(make_record("a", 10, 3), at_ms(30), false);
+    CHECK_FALSE(may_receive_requests("a"));
+    endpoints.apply(make_record("a", 11, 1), at_ms(40), false);
+    CHECK_TRUE(may_receive_requests("a"));
+}
+
 // Guards against new requests to an endpoint whose record was deleted.
 TEST(endpoint_catalog, a_removed_endpoint_receives_nothing)
 {
--- a/packages/placement/tests/endpoint_selection_test.cpp
+++ b/packages/placement/tests/endpoint_selection_test.cpp
@@ -126,6 +126,29 @@
     CHECK_EQUAL(second, choose(request("x")));
 }
 
+// Guards against requests to an endpoint that has asked for none when it turned one away, and, while all
+// endpoints have done so, against a rejection that names an earlier time than the first of them.
+TEST(endpoint_choice, an_endpoint_that_asked_for_no_request_receives_none)
+{
+    const std::string first = choose(request("x"));
+    endpoints.find(first)->waits_until = start + seconds(2);
+    CHECK(choose(request("x")) != first);
+    int index = 0;
+    for (const endpoint_pointer& entry : endpoints.find_service("orders")) {
+        entry->waits_until = start + seconds(2) + milliseconds(100 * index++);
+    }
+    endpoint_selection selected =
+        select_endpoint(endpoints, request("x"), single_instance, options, start + milliseconds(500));
+    CHECK(selected.target == nullptr);
+    CHECK(selected.fault == endpoint_selection_error::at_capacity);
+    CHECK(selected.earliest_wait == milliseconds(1500));
+    endpoints.find(first)->waits_until = start;
+    endpoints.find(first)->outstanding_requests = options.max_outstanding;
+    selected = select_endpoint(endpoints, request("x"), single_instance, options, start);
+    CHECK(selected.target == nullptr);
+    CHECK_FALSE(selected.earliest_wait.has_value());
+}
+
 // Guards against rejecting all requests of a service because all of its endpoints are ejected.
 TEST(endpoint_choice, an_ejected_endpoint_is_used_if_all_others_are_ejected)
 {
