Store watcher: Keep odd entries from stopping the others

Cause: operators of similar systems reported that one odd entry among the endpoints ended processes or stopped them from following the list. Here a reader that throws anything but findings would have failed each watch and each listing, so nothing was confirmed any more.

Change: an entry that cannot be applied is logged and skipped, and its endpoint taken out of use. An instance record under another instance's key is rejected.

--- a/packages/edge/store_watcher.cpp
+++ b/packages/edge/store_watcher.cpp
@@ -74,6 +74,19 @@
 }
 
 void store_watcher::on_entry(const std::string& key, const store::store_entry* entry)
+{
+    // An entry that cannot be applied must not keep the others from being applied or confirmed.
+    try {
+        apply_entry(key, entry);
+    } catch (const std::exception& error) {
+        core::warning_event("entry_rejected").with("key", key).with("findings", error.what());
+        if (key.starts_with(m_deployment.endpoint_prefix)) {
+            m_targets.balancer.remove(m_deployment.endpoint_id(key), current_time());
+        }
+    }
+}
+
+void store_watcher::apply_entry(const std::string& key, const store::store_entry* entry)
 {
     if (key.starts_with(m_deployment.operator_prefix)) {
         on_operator_entry(key, entry);
@@ -191,6 +204,12 @@
     }
     try {
         const instance_record record = parse_instance_record(entry->value, key);
+        if (record.instance != name) {
+            core::warning_event("entry_rejected")
+                .with("key", key)
+                .with("findings", "is for another instance");
+            return;
+        }
         if (record.instance == m_options.instance) {
             m_targets.own_registration.set_known_revision(entry->revision);
         }
--- a/packages/edge/store_watcher.h
+++ b/packages/edge/store_watcher.h
@@ -71,6 +71,7 @@
 
     std::shared_ptr<store::prefix_mirror> make_mirror(const boost::asio::any_io_executor& executor);
     void on_entry(const std::string& key, const store::store_entry* entry);
+    void apply_entry(const std::string& key, const store::store_entry* entry);
     void on_call_succeeded();
     void on_update();
     void on_confirmed(core::boot_instant sent);
--- a/packages/edge/tests/store_watcher_test.cpp
+++ b/packages/edge/tests/store_watcher_test.cpp
@@ -31,6 +31,9 @@
     };
     result.endpoint_prefix = "endpoints/";
     result.read_endpoint = [](const store::store_entry& entry, core::findings&) {
+        if (entry.value == "odd") {
+            throw std::out_of_range("an entry that the reader does not expect");
+        }
         placement::endpoint_record read;
         read.id = entry.key.substr(std::string("endpoints/").size());
         read.service = "mill";
@@ -134,6 +137,26 @@
     CHECK_TRUE(run_until([this] { return balancer.size() == 2 && membership.size() == 1; }));
 }
 
+// Guards against an odd entry of another writer that keeps the entries beside it from being applied, or the
+// configuration from being confirmed.
+TEST(store_watcher, an_entry_that_cannot_be_applied_leaves_the_others_in_force)
+{
+    test_store->put("operators/configuration", "3");
+    test_store->put("endpoints/e1", "");
+    test_store->put("endpoints/e2", "odd");
+    test_store->put(std::string(instance_prefix) + "peer", make_peer("another"));
+    test_store->put("endpoints/e3", "");
+    watcher.start();
+    CHECK_TRUE(run_until([this] { return watcher.has_listed() && balancer.size() == 2; }));
+    const core::boot_instant listed_at = core::boot_clock::now();
+    test_store->put("endpoints/e1", "odd");
+    test_store->put("operators/configuration", "4");
+    CHECK_TRUE(run_until([this] { return state.table()->version() == 4; }));
+    CHECK_EQUAL(1U, balancer.size());
+    CHECK_EQUAL(1U, membership.size());
+    CHECK_TRUE(run_until([&] { return state.age(listed_at) <= core::boot_clock::duration(0); }));
+}
+
 // Guards against keys that are rejected for the timeout of a whole watch after an outage of the store, since
 // the configuration is confirmed only by the first answer. The watch that follows a failed call must
 // therefore answer at once.
