Caller: Test responses without end

Upstreams that send a header, header fields, interim responses, a chunk extension, a body or trailers without end.

--- a/packages/caller/tests/scripted_upstream.cpp
+++ b/packages/caller/tests/scripted_upstream.cpp
@@ -66,6 +66,18 @@
         return "HTTP/1.1 503 Busy\r\nQuetzal-Outcome: not-run\r\nContent-Length: 4\r\n\r\nbusy";
     case upstream_step::answer_early:
         return "HTTP/1.1 413 Too Large\r\nContent-Length: 5\r\n\r\nlarge";
+    case upstream_step::endless_field:
+        return "HTTP/1.1 200 OK\r\nX-Long: ";
+    case upstream_step::endless_header:
+        return "HTTP/1.1 200 OK\r\n";
+    case upstream_step::endless_interim_responses:
+        return "HTTP/1.1 103 Early Hints\r\n\r\n";
+    case upstream_step::endless_chunk_extension:
+        return "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5;x=";
+    case upstream_step::endless_body:
+        return "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    case upstream_step::endless_trailer:
+        return "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n";
     case upstream_step::reset_on_accept:
     case upstream_step::reset_after_header:
     case upstream_step::reset_after_running:
@@ -75,6 +87,25 @@
     return {};
 }
 
+// Returns what a step without end repeats, or no value for another step.
+std::optional<std::string> endless_part(upstream_step step)
+{
+    switch (step) {
+    case upstream_step::endless_field:
+    case upstream_step::endless_chunk_extension:
+        return std::string(1024, 'a');
+    case upstream_step::endless_header:
+    case upstream_step::endless_trailer:
+        return "X-Field: value\r\n";
+    case upstream_step::endless_interim_responses:
+        return "HTTP/1.1 103 Early Hints\r\n\r\n";
+    case upstream_step::endless_body:
+        return "400\r\n" + std::string(1024, 'b') + "\r\n";
+    default:
+        return std::nullopt;
+    }
+}
+
 } // namespace
 
 std::shared_ptr<scripted_upstream> scripted_upstream::create(asio::io_context& context)
@@ -154,6 +185,33 @@
     return m_cancelled;
 }
 
+std::uint64_t scripted_upstream::endless_bytes() const
+{
+    const std::lock_guard<std::mutex> guard(m_mutex);
+    return m_endless_bytes;
+}
+
+asio::awaitable<void> scripted_upstream::send_without_end(asio::ip::tcp::socket& socket, std::string text,
+                                                          std::string part)
+{
+    constexpr std::uint64_t max_bytes = 512U * 1024 * 1024;
+    constexpr std::size_t repetitions = 16;
+    std::string block;
+    for (std::size_t index = 0; index < repetitions; ++index) {
+        block += part;
+    }
+    boost::system::error_code error;
+    co_await asio::async_write(socket, asio::buffer(text), asio::redirect_error(asio::use_awaitable, error));
+    std::uint64_t sent = 0;
+    while (!error && sent < max_bytes) {
+        sent += co_await asio::async_write(socket, asio::buffer(block),
+                                           asio::redirect_error(asio::use_awaitable, error));
+    }
+    const std::lock_guard<std::mutex> guard(m_mutex);
+    m_endless_bytes += sent;
+    m_cancelled += error ? 1 : 0;
+}
+
 std::string scripted_upstream::last_header() const
 {
     const std::lock_guard<std::mutex> guard(m_mutex);
@@ -245,6 +303,10 @@
             co_return;
         }
         std::string text = response_text(step, body);
+        if (const std::optional<std::string> part = endless_part(step)) {
+            co_await send_without_end(socket, std::move(text), *part);
+            co_return;
+        }
         if (parser.get().method() == beast::http::verb::head) {
             text.resize(text.find("\r\n\r\n") + 4);
         }
--- a/packages/caller/tests/scripted_upstream.h
+++ b/packages/caller/tests/scripted_upstream.h
@@ -54,6 +54,14 @@
     answer_after_interim,
     // Runs the request and sends a complete chunked response.
     answer_chunked,
+    // Run the request and send bytes without end, until the peer closes: a field in the header, fields in the
+    // header, interim responses, an extension of a chunk, a chunked body, fields after the last chunk.
+    endless_field,
+    endless_header,
+    endless_interim_responses,
+    endless_chunk_extension,
+    endless_body,
+    endless_trailer,
     // Sends 413 after the request header, without running the request, and discards what follows until the
     // peer closes.
     answer_early,
@@ -80,6 +88,8 @@
     // Number of requests whose connection the peer closed early: within the body, while the upstream hung, or
     // after an early response.
     std::uint32_t cancelled() const;
+    // Bytes that were sent by the steps without end.
+    std::uint64_t endless_bytes() const;
 
 private:
     explicit scripted_upstream(boost::asio::io_context& context);
@@ -87,6 +97,10 @@
     boost::asio::awaitable<void> accept_connections();
     boost::asio::awaitable<void> serve(boost::asio::ip::tcp::socket socket);
     upstream_step next_step();
+    // Sends the text and then the part over and over until the peer closes, at most a number of bytes that no
+    // reader with limits takes.
+    boost::asio::awaitable<void> send_without_end(boost::asio::ip::tcp::socket& socket, std::string text,
+                                                  std::string part);
     void record_execution(const std::string& request_id);
 
     boost::asio::io_context& m_context;
@@ -97,6 +111,7 @@
     std::map<std::string, std::uint32_t> m_executions;
     std::uint32_t m_accepted = 0;
     std::uint32_t m_cancelled = 0;
+    std::uint64_t m_endless_bytes = 0;
     std::string m_last_header;
     std::string m_last_body;
 };
