Quota: Discard the tokens of an instance whose lease has expired

Change: an instance that finds its lease expired empties its token buckets. Those from which it grants refill one second later, when the others know that it is back.

Result: a simulation of that load, with granters that change and an eighth of the answers lost, exceeds the bound without the change and keeps it with the change.

--- a/packages/edge/instance.cpp
+++ b/packages/edge/instance.cpp
@@ -145,6 +145,10 @@
     m_registration = registration::create(
         executor, m_store, own_record(),
         {m_options.lease_time, m_options.lease_renewal_interval, m_options.store_retry_pause});
+    m_registration->set_lease_lost_handler([this] {
+        m_fleet_quota.discard_tokens(current_time());
+        m_reserve.discard_tokens(current_time());
+    });
     store_watch_targets targets{
         m_state, m_balancer, m_membership, m_fleet_quota, m_reserve, *m_registration, {}, {}, {}};
     targets.watch_mode = [this] { return find_watch_mode(); };
--- a/packages/edge/registration.cpp
+++ b/packages/edge/registration.cpp
@@ -77,6 +77,9 @@
             co_return;
         }
         core::warning_event("lease_lost").with("lease", m_lease);
+        if (m_on_lease_lost) {
+            m_on_lease_lost();
+        }
         m_lease = 0;
         m_is_record_current = false;
         m_revision = 0;
--- a/packages/edge/registration.h
+++ b/packages/edge/registration.h
@@ -9,6 +9,7 @@
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include <functional>
 #include <memory>
 
 namespace quetzalspan::edge
@@ -33,6 +34,13 @@
 
     void start();
 
+    // Sets the function that is called when the lease has expired: for a while the other instances did not
+    // count this one as a member.
+    void set_lease_lost_handler(std::function<void()> on_lease_lost)
+    {
+        m_on_lease_lost = std::move(on_lease_lost);
+    }
+
     // Sets the phase and has the record written at once rather than at the next renewal.
     void set_phase(instance_phase phase);
 
@@ -66,6 +74,7 @@
     // Whether the store holds m_own_record in its present state under the lease.
     bool m_is_record_current = false;
     bool m_is_stopped = false;
+    std::function<void()> m_on_lease_lost;
 };
 
 } // namespace quetzalspan::edge
--- a/packages/quota/fleet_quota.cpp
+++ b/packages/quota/fleet_quota.cpp
@@ -172,6 +172,15 @@
     return result;
 }
 
+void fleet_quota::discard_tokens(core::instant now)
+{
+    const std::lock_guard<std::mutex> guard(m_mutex);
+    for (auto& [name, state] : m_workspaces) {
+        state.bucket = token_bucket(now);
+    }
+    rebalance_locked(now);
+}
+
 void fleet_quota::record_reserve_token(std::string_view workspace, core::instant now)
 {
     const std::lock_guard<std::mutex> guard(m_mutex);
--- a/packages/quota/fleet_quota.h
+++ b/packages/quota/fleet_quota.h
@@ -38,9 +38,9 @@
     // The fraction of a limit that is partitioned into shares, if the limit is large enough for the fleet;
     // single tokens of the rest are granted on request (see grantable_reserve).
     double partitioned_fraction = 0.6;
-    // A limit below this many requests per second per instance is not partitioned at all, because its requests
-    // seldom arrive at an instance that has a token left. Its demand is not reported either, which keeps the
-    // messages of a large fleet small.
+    // A limit below this many requests per second per instance is not partitioned at all, because its
+    // requests seldom arrive at an instance that has a token left. Its demand is not reported either, which
+    // keeps the messages of a large fleet small.
     double min_partitioned_rate_per_instance = 0.5;
     core::duration demand_time_constant = std::chrono::milliseconds(1000);
     // The sequence number of the first report. It must be higher than those from earlier runs of the
@@ -109,11 +109,15 @@
     // Decides whether to admit one request. A workspace without a limit is always admitted.
     quota_decision admit(std::string_view workspace, core::instant now);
 
+    // Empties the token buckets, as after a restart. Called when the other instances may have divided this
+    // instance's share among themselves.
+    void discard_tokens(core::instant now);
+
     // Counts a request that admit() rejected and that was admitted by a token of the reserve.
     void record_reserve_token(std::string_view workspace, core::instant now);
 
-    // Returns the number of instances that reported to the collector that the most instances report to, or 0 if
-    // no collector was heard within the lifetime of its sums.
+    // Returns the number of instances that reported to the collector that the most instances report to, or 0
+    // if no collector was heard within the lifetime of its sums.
     std::size_t reporter_count(core::instant now) const;
 
     // Recomputes this instance's shares from the current demand and the stored sums.
--- a/packages/quota/retry_after.cpp
+++ b/packages/quota/retry_after.cpp
@@ -26,8 +26,9 @@
     // The fraction is not used below one in a hundred, where the added wait has long reached its maximum.
     const double admitted = std::clamp(admitted_fraction, 0.01, 1.0);
     const double rejections_per_admission = 1 / admitted - 1;
-    const core::duration added = std::min(
-        std::chrono::duration_cast<core::duration>(wait_per_rejection * rejections_per_admission), max_added_wait);
+    const core::duration added =
+        std::min(std::chrono::duration_cast<core::duration>(wait_per_rejection * rejections_per_admission),
+                 max_added_wait);
     const core::duration wait = std::max(next_token + added, 2 * min_wait);
     return std::chrono::duration_cast<core::duration>(wait * (1 - spread * std::clamp(position, 0.0, 1.0)));
 }
--- a/packages/quota/shared_reserve.cpp
+++ b/packages/quota/shared_reserve.cpp
@@ -98,6 +98,15 @@
     return result;
 }
 
+void grantable_reserve::discard_tokens(core::instant now)
+{
+    const std::lock_guard<std::mutex> guard(m_mutex);
+    for (auto& [name, entry] : m_workspaces) {
+        entry.bucket = token_bucket(now + takeover_delay);
+        apply_limit(entry, now);
+    }
+}
+
 std::vector<std::string> grantable_reserve::workspaces() const
 {
     const std::lock_guard<std::mutex> guard(m_mutex);
--- a/packages/quota/shared_reserve.h
+++ b/packages/quota/shared_reserve.h
@@ -44,6 +44,10 @@
     // stays zero.
     quota_decision grant(std::string_view workspace, core::instant now);
 
+    // Empties the token buckets, which refill from takeover_delay later. Called when the other instances may
+    // have chosen another granter for a while.
+    void discard_tokens(core::instant now);
+
     // Returns the workspaces with a limit.
     std::vector<std::string> workspaces() const;
 
--- a/packages/quota/tests/quota_test.cpp
+++ b/packages/quota/tests/quota_test.cpp
@@ -82,7 +82,10 @@
     }
 
     // Takes a token from the reserve of the instance, in the role that it has.
-    bool grant(std::size_t index, core::instant now) { return m_reserves[index]->grant("hat", now).is_admitted; }
+    bool grant(std::size_t index, core::instant now)
+    {
+        return m_reserves[index]->grant("hat", now).is_admitted;
+    }
 
     // Makes the instance the primary granter in its own view alone.
     void take_over(std::size_t index, core::instant now)
@@ -427,9 +430,9 @@
     }
 }
 
-// Guards against a workspace that is granted its limit twice while its granter changes: instances learn of the
-// change at different times, so for up to a second some ask the previous granter and some the new one. The
-// workspace asks for five times its rate, and every instance in turn becomes the granter, as in a rolling
+// Guards against a workspace that is granted its limit twice while its granter changes: instances learn of
+// the change at different times, so for up to a second some ask the previous granter and some the new one.
+// The workspace asks for five times its rate, and every instance in turn becomes the granter, as in a rolling
 // restart.
 TEST(quota, no_window_exceeds_the_bound_while_granters_change)
 {
@@ -480,8 +483,8 @@
     CHECK_EQUAL(5U, limits.make_report(start + seconds(1)).rates.size());
 }
 
-// Guards against rejected callers that come back at once or all at the same time, while the workspace asks for
-// many times its limit.
+// Guards against rejected callers that come back at once or all at the same time, while the workspace asks
+// for many times its limit.
 TEST(quota, the_wait_after_a_rejection_grows_with_the_rejections_and_is_spread)
 {
     const core::duration calm = compute_retry_after(milliseconds(50), 1.0, 0);
@@ -495,6 +498,72 @@
     CHECK(compute_retry_after(milliseconds(0), 0.0, 0) <= seconds(1));
 }
 
+// Guards against the burst of instances that come back: while 42 of 119 instances were cut off and their
+// leases had lapsed, the others divided the whole limit and chose another granter. On their return the former
+// granter and the others still held the tokens of their former shares, and a workspace that sent eight times
+// its rate exceeded its limit.
+TEST(quota, no_window_exceeds_the_bound_when_instances_that_were_cut_off_return)
+{
+    constexpr std::size_t size = 119;
+    constexpr std::size_t cut = 42;
+    constexpr double rate = 700;
+    constexpr int cut_step = 100;
+    constexpr int lapse_step = 500;
+    constexpr int hot_step = 950;
+    constexpr int return_step = 1300;
+    // By then all know that the instances are back.
+    constexpr int settled_step = 1400;
+    const quota_options options = make_quota_options();
+    std::vector<std::unique_ptr<fleet_quota>> instances;
+    std::vector<std::unique_ptr<grantable_reserve>> granters;
+    for (std::size_t index = 0; index < size; ++index) {
+        instances.push_back(std::make_unique<fleet_quota>(options));
+        instances.back()->set_limits({{"hat", rate, rate}}, start);
+        instances.back()->set_fleet_size(size, start);
+    }
+    for (const granter_role role : {granter_role::primary, granter_role::none, granter_role::secondary}) {
+        granters.push_back(std::make_unique<grantable_reserve>(options));
+        granters.back()->set_limits({{"hat", rate, rate}}, start);
+        granters.back()->set_fleet_size(size, start);
+        granters.back()->set_role("hat", role, start);
+    }
+    sliding_window_counter window;
+    for (int step = 0; step < 2000; ++step) {
+        const core::instant now = start + milliseconds(10 * step);
+        if (step == lapse_step || step == settled_step) {
+            for (std::size_t index = cut; index < size; ++index) {
+                instances[index]->set_fleet_size(step == lapse_step ? size - cut : size, now);
+            }
+            granters[1]->set_role("hat", step == lapse_step ? granter_role::primary : granter_role::none,
+                                  now);
+        }
+        if (step == return_step) {
+            for (std::size_t index = 0; index < cut; ++index) {
+                instances[index]->discard_tokens(now);
+            }
+            granters[0]->discard_tokens(now);
+        }
+        // Eight times the rate. Instances that are cut off admit nothing; while the views differ, half of the
+        // instances ask each granter. An eighth of the answers is lost, and the second granter asked.
+        const bool is_cut = step >= cut_step && step < return_step;
+        for (int request = 0; step >= hot_step && request < 56; ++request) {
+            const std::size_t target = static_cast<std::size_t>(step * 56 + request) % size;
+            if (is_cut && target < cut) {
+                continue;
+            }
+            const std::size_t first = is_cut ? 1 : step >= settled_step ? 0 : target % 2;
+            const std::size_t asked = request % 8 == 0 ? 2 : first;
+            const bool is_granted = instances[target]->admit("hat", now).is_admitted ||
+                                    granters[asked]->grant("hat", now).is_admitted;
+            if (is_granted) {
+                window.add(now);
+            }
+        }
+    }
+    CHECK(window.max_admitted > 3500);
+    CHECK(static_cast<double>(window.max_admitted) <= max_admitted_in_window(rate, rate));
+}
+
 // Guards against an instance that admits its burst a second time after a restart.
 TEST(quota, a_bucket_starts_empty)
 {
