Placement: Keep overloaded objects at their first endpoints

Change: an object goes to its first three endpoints that are not failing, cold or waiting; a request without an object goes anywhere. An endpoint that reports more than 1.7 waiting requests for each slot receives none, since a longer queue only serves all of them later. A request that finds no endpoint is rejected at once.

Ruled out: fewer outstanding requests of an instance; the endpoints of different sites have 3 to 9 slots, and instances differ in number.

--- a/packages/edge/endpoint_balancer.cpp
+++ b/packages/edge/endpoint_balancer.cpp
@@ -195,6 +195,10 @@
     if (result.is_draining && m_catalog.mark_leaving(*target)) {
         m_leaving.add();
     }
+    if (const std::optional<placement::load_report> load = placement::parse_load_report(result.load_report)) {
+        target->reported_load = load;
+        target->load_reported_at = now;
+    }
     if (result.wait) {
         target->waits_until = std::max(target->waits_until, now + *result.wait);
         m_waits.add();
--- a/packages/placement/endpoint.h
+++ b/packages/placement/endpoint.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include "placement/endpoint_record.h"
+#include "placement/load_report.h"
 
 #include <cstdint>
 #include <deque>
@@ -55,6 +56,9 @@
     core::duration average_latency{0};
     // Until this time other endpoints are preferred because it is much slower than the others of its service.
     core::instant slow_until;
+    // The last load report and when it arrived; no value before the first.
+    std::optional<load_report> reported_load;
+    core::instant load_reported_at;
     // Until this time it receives no request, because it asked for that when it turned one away.
     core::instant waits_until;
     // Until this time other endpoints are preferred because it rejected a request.
--- a/packages/placement/endpoint_selection.cpp
+++ b/packages/placement/endpoint_selection.cpp
@@ -6,6 +6,8 @@
 
 #include <algorithm>
 #include <cmath>
+#include <limits>
+#include <vector>
 
 namespace quetzalspan::placement
 {
@@ -23,14 +25,25 @@
 
 // Why other endpoints are preferred to an endpoint. An endpoint with a lower level is always preferred to one
 // with a higher level, and an unavailable one is never selected.
-enum class penalty_level { none, busy, slow, ejected, unavailable };
+enum class penalty_level { none, busy, full, slow, ejected, unavailable };
+
+// Returns the requests that wait at the endpoint for each of its slots, as it has recently reported them; 0
+// if it has not.
+double waiting_per_slot(const endpoint& candidate, const endpoint_selection_options& options,
+                        core::instant now)
+{
+    if (!candidate.reported_load || now - candidate.load_reported_at > options.load_report_lifetime) {
+        return 0;
+    }
+    return static_cast<double>(candidate.reported_load->waiting) /
+           static_cast<double>(candidate.reported_load->slots);
+}
 
 penalty_level compute_penalty(endpoint& candidate, const endpoint_selection_request& request,
                               const fleet_view& fleet, const endpoint_selection_options& options,
                               core::instant now)
 {
-    if (candidate.outstanding_requests >= options.max_outstanding ||
-        !may_send_within_cold_limit(candidate, request.cold, fleet, now)) {
+    if (now < candidate.waits_until || !may_send_within_cold_limit(candidate, request.cold, fleet, now)) {
         return penalty_level::unavailable;
     }
     if (now < candidate.ejected_until) {
@@ -39,7 +52,12 @@
     if (now < candidate.slow_until) {
         return penalty_level::slow;
     }
-    if (candidate.outstanding_requests >= options.spill_threshold || now < candidate.busy_until) {
+    const double waiting = waiting_per_slot(candidate, options, now);
+    if (candidate.outstanding_requests >= options.max_outstanding || waiting > options.max_waiting_per_slot) {
+        return penalty_level::full;
+    }
+    if (candidate.outstanding_requests >= options.spill_threshold || now < candidate.busy_until ||
+        waiting > options.spill_waiting_per_slot) {
         return penalty_level::busy;
     }
     return penalty_level::none;
@@ -66,6 +84,39 @@
            rendezvous_rank(entry.id_hash, fleet) == 0;
 }
 
+struct scored_endpoint {
+    const endpoint_pointer* entry = nullptr;
+    penalty_level level = penalty_level::unavailable;
+    // The lower the score, the earlier the endpoint is in the order of the object.
+    double score = 0;
+};
+
+bool is_preferred(const scored_endpoint& left, const scored_endpoint& right)
+{
+    return left.level != right.level ? left.level < right.level : left.score < right.score;
+}
+
+// Returns the endpoint to use, or one without an entry if none may be used. Only the first endpoints in the
+// order of the object may serve it while they are busy; those that are failing are used if no other is left.
+scored_endpoint choose(std::vector<scored_endpoint>& usable, std::size_t max_choices)
+{
+    const std::vector<scored_endpoint>::iterator failing =
+        std::partition(usable.begin(), usable.end(),
+                       [](const scored_endpoint& entry) { return entry.level <= penalty_level::full; });
+    if (failing == usable.begin()) {
+        const std::vector<scored_endpoint>::iterator best =
+            std::min_element(usable.begin(), usable.end(), is_preferred);
+        return best == usable.end() ? scored_endpoint() : *best;
+    }
+    const std::size_t healthy = static_cast<std::size_t>(failing - usable.begin());
+    const std::ptrdiff_t count = static_cast<std::ptrdiff_t>(std::min(max_choices, healthy));
+    std::partial_sort(
+        usable.begin(), usable.begin() + count, failing,
+        [](const scored_endpoint& left, const scored_endpoint& right) { return left.score < right.score; });
+    const scored_endpoint best = *std::min_element(usable.begin(), usable.begin() + count, is_preferred);
+    return best.level == penalty_level::full ? scored_endpoint() : best;
+}
+
 } // namespace
 
 endpoint_selection select_endpoint(const endpoint_catalog& catalog, const endpoint_selection_request& request,
@@ -75,9 +126,10 @@
     const std::string_view object = request.affinity.empty() ? request.request_id : request.affinity;
     const std::uint64_t object_hash = core::stable_hash(object, core::stable_hash(request.service));
     endpoint_selection result;
-    penalty_level selected_penalty = penalty_level::unavailable;
-    double selected_score = 0;
-    double lowest_score = 0;
+    // Reused, so that a request allocates no memory here.
+    thread_local std::vector<scored_endpoint> usable;
+    usable.clear();
+    double lowest_score = std::numeric_limits<double>::max();
     std::uint32_t waiting = 0;
     for (const endpoint_pointer& entry : catalog.find_service(request.service)) {
         if (!is_candidate(*entry, request)) {
@@ -89,30 +141,29 @@
             request.region_weight ? request.region_weight(entry->record.region) : 1.0;
         const double weight = (is_own_region ? options.own_region_weight : 1.0) * region_weight;
         const double score = -std::log(hash_to_unit_interval(object_hash, entry->id_hash)) / weight;
-        lowest_score = result.candidates == 1 ? score : std::min(lowest_score, score);
+        lowest_score = std::min(lowest_score, score);
         if (now < entry->waits_until) {
             ++waiting;
             const core::duration wait = entry->waits_until - now;
             result.earliest_wait = std::min(result.earliest_wait.value_or(wait), wait);
-            continue;
         }
         const penalty_level level = compute_penalty(*entry, request, fleet, options, now);
-        if (level == penalty_level::unavailable) {
-            continue;
-        }
         if (level == penalty_level::none && is_first_request_due(*entry, request, fleet, options, now)) {
             result.target = entry;
+            result.earliest_wait.reset();
             return result;
         }
-        const bool is_better = !result.target || level < selected_penalty ||
-                               (level == selected_penalty && score < selected_score);
-        if (is_better) {
-            result.target = entry;
-            selected_penalty = level;
-            selected_score = score;
+        if (level != penalty_level::unavailable) {
+            usable.push_back({&entry, level, score});
         }
     }
-    result.is_spilled = result.target && selected_score > lowest_score;
+    const bool has_object = !request.affinity.empty();
+    const scored_endpoint chosen =
+        choose(usable, has_object ? options.max_busy_choices : std::numeric_limits<std::size_t>::max());
+    if (chosen.entry != nullptr) {
+        result.target = *chosen.entry;
+        result.is_spilled = chosen.score > lowest_score;
+    }
     if (result.target || waiting < result.candidates) {
         result.earliest_wait.reset();
     }
--- a/packages/placement/endpoint_selection.h
+++ b/packages/placement/endpoint_selection.h
@@ -27,6 +27,18 @@
     // An endpoint with this many requests of this instance in flight receives no more: the usual number of
     // slots and the usual length of the queue.
     std::uint32_t max_outstanding = 12;
+    // Load reports are used for this long. An endpoint that answers many requests reports anew long before.
+    core::duration load_report_lifetime = std::chrono::milliseconds(250);
+    // An endpoint at which more requests wait than this many times its slots is passed over for the next one
+    // in order.
+    double spill_waiting_per_slot = 0.7;
+    // An endpoint at which more requests wait than this many times its slots receives none. A longer queue
+    // serves no more requests, only all of them later.
+    double max_waiting_per_slot = 1.7;
+    // The first endpoints in the order of an object that may serve it in turn while they are busy, not
+    // counting those that are failing, slow, cold or waiting. With more, an overload would send each object
+    // to all endpoints, none of which would serve it fast any more.
+    std::size_t max_busy_choices = 3;
     // The weight of endpoints in this instance's region, relative to endpoints in other regions. A higher
     // weight reduces traffic between regions, but instances of different regions then send the requests for
     // an object to different endpoints, each of which has to handle it for the first time.
--- a/packages/placement/tests/endpoint_selection_test.cpp
+++ b/packages/placement/tests/endpoint_selection_test.cpp
@@ -126,6 +126,57 @@
     CHECK_EQUAL(second, choose(request("x")));
 }
 
+// Guards against an overload that sends each object to every endpoint: none of them then serves it fast, the
+// whole service gets slower, and the overload feeds itself. Seen with a workspace that sent eight times its
+// rate to 24 endpoints: no request met its objective for eight seconds.
+TEST(endpoint_choice, an_overloaded_object_stays_at_its_first_endpoints)
+{
+    const auto fill = [this](const std::string& id) {
+        const endpoint_pointer entry = endpoints.find(id);
+        entry->reported_load = load_report{3, 9, 3};
+        entry->load_reported_at = start;
+    };
+    std::set<std::string> used;
+    for (std::string id = choose(request("x")); !id.empty(); id = choose(request("x"))) {
+        used.insert(id);
+        fill(id);
+    }
+    CHECK_EQUAL(options.max_busy_choices, used.size());
+    endpoint_selection selected = select_endpoint(endpoints, request("x"), single_instance, options, start);
+    CHECK(selected.fault == endpoint_selection_error::at_capacity);
+    // A request without an object may go anywhere.
+    endpoint_selection_request without_object = request("");
+    CHECK(select_endpoint(endpoints, without_object, single_instance, options, start).target != nullptr);
+    // The reports lose their meaning after a while.
+    selected = select_endpoint(endpoints, request("x"), single_instance, options, start + seconds(1));
+    CHECK(selected.target != nullptr);
+}
+
+// Guards against an object that loses its fast endpoints because others of its order are failing.
+TEST(endpoint_choice, failing_endpoints_do_not_count_as_choices)
+{
+    for (std::size_t index = 0; index < options.max_busy_choices + 2; ++index) {
+        const std::string id = choose(request("x"));
+        CHECK_FALSE(id.empty());
+        endpoints.find(id)->ejected_until = start + seconds(1);
+    }
+    CHECK_FALSE(choose(request("x")).empty());
+}
+
+// Guards against a report in another form that is taken for a load.
+TEST(endpoint_choice, load_reports_are_parsed_strictly)
+{
+    const std::optional<load_report> report = parse_load_report("3,12,9");
+    CHECK_TRUE(report.has_value());
+    CHECK_EQUAL(3U, report->running);
+    CHECK_EQUAL(12U, report->waiting);
+    CHECK_EQUAL(9U, report->slots);
+    for (const char* text : {"", "3", "3,1", "3,1,", "3,1,0", "-1,0,3", "3,1,9,", "3, 1,9", "a,b,c",
+                             "99999999999,0,3", "3,1,9 "}) {
+        CHECK_FALSE(parse_load_report(text).has_value());
+    }
+}
+
 // Guards against requests to an endpoint that has asked for none when it turned one away, and, while all
 // endpoints have done so, against a rejection that names an earlier time than the first of them.
 TEST(endpoint_choice, an_endpoint_that_asked_for_no_request_receives_none)
