--- a/packages/edge/request_rules.h
+++ b/packages/edge/request_rules.h
@@ -44,8 +44,8 @@
     core::duration unconfirmed_retry_after = std::chrono::milliseconds(250);
     // One in this many successful requests is logged.
     std::uint64_t success_log_interval = 64;
-    // Lines of one kind that are written per second. Under overload the lines would otherwise take a good part
-    // of the processor time; each line says how many of its kind were skipped before it.
+    // Lines of one kind that are written per second. Under overload the lines would otherwise take a good
+    // part of the processor time; each line says how many of its kind were skipped before it.
     double log_lines_per_second = 50;
 };
 
