--- a/packages/quota/shared_reserve.h
+++ b/packages/quota/shared_reserve.h
@@ -1,6 +1,7 @@
-// Holds the part of each workspace's limit that is not partitioned into shares. Two instances, the granters of
-// the workspace, grant it to the others one token at a time. While answers are lost, instances ask the second
-// granter although the first one still grants tokens, so each of the two has its own part of the reserve.
+// Holds the part of each workspace's limit that is not partitioned into shares. Two instances, the granters
+// of the workspace, grant it to the others one token at a time. While answers are lost, instances ask the
+// second granter although the first one still grants tokens, so each of the two has its own part of the
+// reserve.
 
 #pragma once
 
@@ -15,8 +16,8 @@
 namespace quetzalspan::quota
 {
 
-// What this instance is for a workspace: the granter that instances ask first for tokens, the one that they ask
-// if the first does not answer, or neither.
+// What this instance is for a workspace: the granter that instances ask first for tokens, the one that they
+// ask if the first does not answer, or neither.
 enum class granter_role { none, primary, secondary };
 
 // Thread-safe.
@@ -34,14 +35,14 @@
     // Sets the number of instances in the fleet, which determines the size of the reserve.
     void set_fleet_size(std::size_t size, core::instant now);
 
-    // Records what this instance is for the workspace at present. Tokens of a role that it did not have before
-    // accumulate from takeover_delay later, so that the previous granter, which may not know of the change yet,
-    // has stopped by then.
+    // Records what this instance is for the workspace at present. Tokens of a role that it did not have
+    // before accumulate from takeover_delay later, so that the previous granter, which may not know of the
+    // change yet, has stopped by then.
     void set_role(std::string_view workspace, granter_role role, core::instant now);
 
-    // Decides whether to grant a token for one request of an instance in the present role. A workspace that is
-    // not in the limits, and one for which this instance has no role, is never granted one, and retry_after
-    // stays zero.
+    // Decides whether to grant a token for one request of an instance in the present role. A workspace that
+    // is not in the limits, and one for which this instance has no role, is never granted one, and
+    // retry_after stays zero.
     quota_decision grant(std::string_view workspace, core::instant now);
 
     // Empties the token buckets, which refill from takeover_delay later. Called when the other instances may
--- a/tests/process/port_reservation_test.cpp
+++ b/tests/process/port_reservation_test.cpp
@@ -1,5 +1,6 @@
 // Tests that a port of a test fleet is still free when its process binds it. Ports that were only looked up
-// and closed again were given to other listeners of the test, and the process ended because it could not bind.
+// and closed again were given to other listeners of the test, and the process ended because it could not
+// bind.
 
 #include "tests/support/port_reservation.h"
 
--- a/tests/support/port_reservation.cpp
+++ b/tests/support/port_reservation.cpp
@@ -16,8 +16,8 @@
         // A child process that inherited the socket would hold the port after the test has ended.
         fcntl(added.native_handle(), F_SETFD, FD_CLOEXEC);
         added.bind(any_port);
-        // Set only now: a socket that has the option set while it asks for any free port may be given one that
-        // another such socket is bound to.
+        // Set only now: a socket that has the option set while it asks for any free port may be given one
+        // that another such socket is bound to.
         added.set_option(boost::asio::socket_base::reuse_address(true));
         m_ports.push_back(added.local_endpoint().port());
     }
