Edge: Close idle connections before the grace period ends

Cause: with a grace period of 6 s the listener closes after 4.92 s, and idle connections of callers were closed 1 s later, after the process had given up waiting for them at 5.75 s.

--- a/packages/edge/instance.cpp
+++ b/packages/edge/instance.cpp
@@ -120,6 +120,7 @@
     options.profile = m_deployment.profile;
     options.connect_timeout = endpoint_connect_timeout;
     options.response_buffer_bytes = response_buffer_bytes;
+    options.drain_linger = m_options.shutdown_linger;
     options.lookup_path.clear();
     m_caller_server =
         caller::proxy_server::create(m_request_context.get_executor(), m_options.caller_address.host,
--- a/packages/edge/instance_options.h
+++ b/packages/edge/instance_options.h
@@ -72,6 +72,9 @@
     core::duration shutdown_reject_delay = std::chrono::milliseconds(3200);
     // Time from the stop signal until the listener closes.
     core::duration shutdown_drain_delay = std::chrono::milliseconds(4900);
+    // Time after that until idle connections of callers are closed. What is left of the shutdown timeout then
+    // is for requests under way and for ending the process.
+    core::duration shutdown_linger = std::chrono::milliseconds(360);
 
     // Fleet-wide rate limits of workspaces: the window over which requests are counted, and the tolerance
     // above the limit as a fraction of it and as a number of requests.
