Edge: Bound the age in confirmations of a relay

A relay that had lost the store for over a minute sent an age beyond the range of the field. The answer was rejected as malformed, with a warning for each question, instead of being skipped as old.

--- a/packages/edge/peer_message.cpp
+++ b/packages/edge/peer_message.cpp
@@ -4,6 +4,7 @@
 
 #include "codec/json_reader.h"
 
+#include <algorithm>
 #include <cmath>
 
 namespace quetzalspan::edge
@@ -139,7 +140,8 @@
     params["number"] = Json::UInt64(message.number);
     params["revision"] = Json::UInt64(message.revision);
     // Rounded up, since an age that is too low would make keys count as confirmed for too long.
-    params["age_ms"] = Json::Int64(core::to_milliseconds(message.age) + 1);
+    const std::int64_t age_ms = core::to_milliseconds(message.age) + 1;
+    params["age_ms"] = Json::Int64(std::min(age_ms, static_cast<std::int64_t>(max_confirmation_age_ms)));
     return to_notification(confirmation_method, std::move(params));
 }
 
--- a/packages/edge/tests/confirmation_client_test.cpp
+++ b/packages/edge/tests/confirmation_client_test.cpp
@@ -60,6 +60,19 @@
     CHECK(found->as_of <= core::boot_clock::now() - milliseconds(300));
 }
 
+// Guards against an answer that cannot be read, and a warning for each question, once a relay has lost the
+// store for longer than the range of the field.
+TEST(confirmation_client, an_age_beyond_the_range_of_the_message_is_bounded)
+{
+    const peer_message read =
+        parse_peer_message(to_text(confirmation_message{3, 17, std::chrono::hours(50)}), "test");
+    CHECK(std::get<confirmation_message>(read).age >= std::chrono::seconds(60));
+    CHECK_EQUAL(17U, std::get<confirmation_message>(read).revision);
+    const peer_message short_age =
+        parse_peer_message(to_text(confirmation_message{3, 17, std::chrono::microseconds(500)}), "test");
+    CHECK(std::get<confirmation_message>(short_age).age == milliseconds(1));
+}
+
 // Guards against an instance that follows a relay which has lost the store.
 TEST(confirmation_client, old_knowledge_is_not_used_and_the_relay_is_skipped)
 {
