Quota: Use shares only while the lease is known to hold

An instance that returns finds its lease expired only when its next renewal is answered, and until then used the tokens of its former share. An instance that the store turns away while its relay confirms its copy would have done so for as long.

Change: the lease counts from the sending of the call that renewed it. Once it may have ended, the instance neither uses its shares nor grants tokens; requests ask the granters, who answer members only.

Result: a test of the rule.

--- a/packages/edge/instance.cpp
+++ b/packages/edge/instance.cpp
@@ -146,6 +146,8 @@
     m_registration = registration::create(
         executor, m_store, own_record(),
         {m_options.lease_time, m_options.lease_renewal_interval, m_options.store_retry_pause});
+    m_registration->set_lease_renewed_handler(
+        [this](core::boot_instant until) { m_state.confirm_membership(until); });
     m_registration->set_lease_lost_handler([this] {
         m_fleet_quota.discard_tokens(current_time());
         m_reserve.discard_tokens(current_time());
@@ -245,7 +247,8 @@
 quota::quota_decision instance::grant_token(const std::string& workspace)
 {
     const core::instant now = current_time();
-    if (2 * m_fleet_quota.reporter_count(now) <= m_membership.size()) {
+    if (!m_state.is_member(core::boot_clock::now()) ||
+        2 * m_fleet_quota.reporter_count(now) <= m_membership.size()) {
         return {};
     }
     m_reserve.set_role(workspace, find_granter_role(workspace, now), now);
--- a/packages/edge/registration.cpp
+++ b/packages/edge/registration.cpp
@@ -72,8 +72,10 @@
 asio::awaitable<void> registration::renew_or_register()
 {
     if (m_lease != 0 && m_is_record_current) {
+        const core::boot_instant sent = core::boot_clock::now();
         const store::lease_outcome outcome = co_await m_store->keep_alive(m_lease);
         if (outcome != store::lease_outcome::lost) {
+            report_lease_renewed(sent);
             co_return;
         }
         core::warning_event("lease_lost").with("lease", m_lease);
@@ -85,11 +87,20 @@
         m_revision = 0;
     }
     if (m_lease == 0) {
+        const core::boot_instant sent = core::boot_clock::now();
         m_lease = co_await m_store->create_lease(m_options.lease_time);
+        report_lease_renewed(sent);
     }
     co_await write_record();
 }
 
+void registration::report_lease_renewed(core::boot_instant sent) const
+{
+    if (m_on_lease_renewed) {
+        m_on_lease_renewed(sent + m_options.lease_time);
+    }
+}
+
 asio::awaitable<void> registration::write_record()
 {
     const instance_record written = m_own_record;
--- a/packages/edge/registration.h
+++ b/packages/edge/registration.h
@@ -3,6 +3,7 @@
 
 #pragma once
 
+#include "core/boot_clock.h"
 #include "edge/instance_record.h"
 #include "store/key_value_store.h"
 
@@ -41,6 +42,13 @@
         m_on_lease_lost = std::move(on_lease_lost);
     }
 
+    // Sets the function that is called when the lease was created or renewed, with the time at which it ends
+    // at the earliest unless it is renewed again.
+    void set_lease_renewed_handler(std::function<void(core::boot_instant)> on_lease_renewed)
+    {
+        m_on_lease_renewed = std::move(on_lease_renewed);
+    }
+
     // Sets the phase and has the record written at once rather than at the next renewal.
     void set_phase(instance_phase phase);
 
@@ -62,6 +70,8 @@
     boost::asio::awaitable<void> run();
     boost::asio::awaitable<void> renew_or_register();
     boost::asio::awaitable<void> write_record();
+    // sent is when the call that created or renewed the lease was sent.
+    void report_lease_renewed(core::boot_instant sent) const;
 
     std::shared_ptr<store::key_value_store> m_store;
     boost::asio::steady_timer m_timer;
@@ -75,6 +85,7 @@
     bool m_is_record_current = false;
     bool m_is_stopped = false;
     std::function<void()> m_on_lease_lost;
+    std::function<void(core::boot_instant)> m_on_lease_renewed;
 };
 
 } // namespace quetzalspan::edge
--- a/packages/edge/request_rules.cpp
+++ b/packages/edge/request_rules.cpp
@@ -191,7 +191,11 @@
         co_return std::nullopt;
     }
     const core::instant now = current_time();
-    const quota::quota_decision decision = m_fleet_quota.admit(admitted.workspace, now);
+    quota::quota_decision decision;
+    // Without a lease the others may have divided this instance's share among themselves.
+    if (m_state.is_member(core::boot_clock::now())) {
+        decision = m_fleet_quota.admit(admitted.workspace, now);
+    }
     if (decision.is_admitted) {
         co_return std::nullopt;
     }
--- a/packages/edge/tests/edge_test.cpp
+++ b/packages/edge/tests/edge_test.cpp
@@ -486,6 +486,34 @@
     CHECK(wait >= milliseconds(35 + 120) && wait <= milliseconds(70 + 330));
 }
 
+// Guards against an instance that goes on using its share after its lease has ended: the others have divided
+// it, so only a granter may admit the request. An instance that the store turns away keeps a confirmed
+// configuration by the relay of its region.
+TEST(request_rules, a_share_is_not_used_without_a_lease)
+{
+    configure(make_configuration(1), milliseconds(0));
+    // So many that a token is there at once.
+    limits.set_limits({{"harbour", 1e9, 1e9}}, start);
+    const caller::admission admitted = admit("/keyed/a");
+    const std::function<bool()> is_admitted = [&] {
+        boost::asio::io_context context;
+        caller::wait_context wait;
+        std::future<std::optional<caller::rejection>> result =
+            boost::asio::co_spawn(context, hooks.enforce_rate_limit(admitted, wait), boost::asio::use_future);
+        context.run();
+        return !result.get().has_value();
+    };
+    is_token_granted = false;
+    CHECK_TRUE(is_admitted());
+    state.confirm_membership(core::boot_clock::now());
+    CHECK_FALSE(is_admitted());
+    is_token_granted = true;
+    CHECK_TRUE(is_admitted());
+    is_token_granted = false;
+    state.confirm_membership(core::boot_clock::now() + seconds(60));
+    CHECK_TRUE(is_admitted());
+}
+
 // Guards against sending a request to a draining endpoint, and against a rejection without a retry-after
 // time.
 TEST(request_rules, a_draining_endpoint_receives_nothing)
--- a/packages/edge/traffic_state.h
+++ b/packages/edge/traffic_state.h
@@ -8,6 +8,7 @@
 #include "routing/route_table.h"
 
 #include <atomic>
+#include <limits>
 #include <memory>
 
 namespace quetzalspan::edge
@@ -61,6 +62,20 @@
                               : now.time_since_epoch() - core::boot_clock::duration(confirmed);
     }
 
+    // Records that the other instances count this one as a member of the fleet until the given time, at which
+    // its lease ends unless it is renewed.
+    void confirm_membership(core::boot_instant until)
+    {
+        m_member_until.store(until.time_since_epoch().count(), std::memory_order_release);
+    }
+
+    // Returns whether the other instances still count this one as a member, so that its shares of limits are
+    // its own. True before the first lease, when it has no tokens yet.
+    bool is_member(core::boot_instant now) const
+    {
+        return now.time_since_epoch().count() < m_member_until.load(std::memory_order_acquire);
+    }
+
     // Whether new requests are rejected because the instance is stopping. Set some time after is_stopping.
     std::atomic<bool> is_rejecting_requests{false};
     // Whether the instance has been told to stop.
@@ -70,6 +85,8 @@
     core::rcu_cell<route_table_pointer> m_table;
     // Time of the last confirmation in nanoseconds of the boot clock; 0 if there was none. Never decreases.
     std::atomic<std::int64_t> m_confirmed{0};
+    // The end of the lease in nanoseconds of the boot clock.
+    std::atomic<std::int64_t> m_member_until{std::numeric_limits<std::int64_t>::max()};
 };
 
 } // namespace quetzalspan::edge
