Edge: Log the rate limits that endpoints name

The profile now names the field, the response of an endpoint to this very request is read strictly, and each change is logged with the endpoint (endpoint_limit) and counted (upstream_limit_changes_total). The field is not passed on to callers. Nothing acts on it yet.

--- a/packages/caller/endpoint_lease.h
+++ b/packages/caller/endpoint_lease.h
@@ -30,6 +30,9 @@
     // Time from the creation of the lease to the response's header, and to the end of the attempt.
     core::duration time_to_header{0};
     core::duration total_time{0};
+    // The requests per second that the endpoint takes from all instances together, infinity if its response
+    // names no limit; no value if it did not respond to this request.
+    std::optional<double> rate_limit;
     // Value of the response's load field; empty if the response has none.
     std::string load_report;
 };
--- a/packages/caller/request_exchange_response.cpp
+++ b/packages/caller/request_exchange_response.cpp
@@ -54,6 +54,9 @@
         }
         const dispatch::response_kind kind =
             dispatch::classify_response(result.status, header, m_request_id, profile);
+        if (kind == dispatch::response_kind::answer || kind == dispatch::response_kind::shed) {
+            result.rate_limit = dispatch::find_upstream_rate_limit(header, profile);
+        }
         if (kind == dispatch::response_kind::answer) {
             break;
         }
--- a/packages/dispatch/header_rules.cpp
+++ b/packages/dispatch/header_rules.cpp
@@ -8,6 +8,8 @@
 
 #include <array>
 #include <charconv>
+#include <cmath>
+#include <limits>
 #include <string>
 #include <vector>
 
@@ -57,6 +59,23 @@
     return !text.empty();
 }
 
+// Returns the decimal number without an exponent that the value consists of, besides space around it;
+// infinity if it is too large. Returns no value for any other text.
+std::optional<double> parse_decimal(beast::string_view value)
+{
+    const std::string_view text = trim(std::string_view(value.data(), value.size()));
+    double number = 0;
+    const std::from_chars_result parsed =
+        std::from_chars(text.data(), text.data() + text.size(), number, std::chars_format::fixed);
+    if (parsed.ptr != text.data() + text.size() || std::isnan(number)) {
+        return std::nullopt;
+    }
+    if (parsed.ec == std::errc::result_out_of_range && text.front() != '-') {
+        return std::numeric_limits<double>::infinity();
+    }
+    return parsed.ec == std::errc() ? std::optional<double>(number) : std::nullopt;
+}
+
 // Returns whether the text has no control character except tabs.
 bool is_valid_field_value(std::string_view text)
 {
@@ -373,8 +392,10 @@
     if (!length.empty()) {
         fields.set(beast::http::field::content_length, length);
     }
-    if (!profile.leaving_field.empty()) {
-        fields.erase(profile.leaving_field);
+    for (const std::string* profile_field : {&profile.leaving_field, &profile.rate_limit_field}) {
+        if (!profile_field->empty()) {
+            fields.erase(*profile_field);
+        }
     }
     fields.set(profile.request_id_field, request_id);
 }
@@ -405,23 +426,25 @@
         fields.count(beast::http::field::retry_after) != 1) {
         return std::nullopt;
     }
-    const beast::string_view value = fields[beast::http::field::retry_after];
-    const std::string_view text = trim(std::string_view(value.data(), value.size()));
-    double seconds = 0;
-    const std::from_chars_result parsed =
-        std::from_chars(text.data(), text.data() + text.size(), seconds, std::chars_format::fixed);
-    const bool is_too_large = parsed.ec == std::errc::result_out_of_range && text.front() != '-';
-    if (is_too_large && parsed.ptr == text.data() + text.size()) {
-        return max_upstream_wait;
-    }
-    // The comparison is false for a value that is not a number.
-    if (parsed.ec != std::errc() || parsed.ptr != text.data() + text.size() || !(seconds > 0)) {
+    const std::optional<double> seconds = parse_decimal(fields[beast::http::field::retry_after]);
+    if (!seconds || *seconds <= 0) {
         return std::nullopt;
     }
-    if (seconds >= core::to_seconds(max_upstream_wait)) {
+    if (*seconds >= core::to_seconds(max_upstream_wait)) {
         return max_upstream_wait;
     }
-    return std::chrono::duration_cast<core::duration>(std::chrono::duration<double>(seconds));
+    return std::chrono::duration_cast<core::duration>(std::chrono::duration<double>(*seconds));
+}
+
+std::optional<double> find_upstream_rate_limit(const fields_type& fields, const message_profile& profile)
+{
+    const std::size_t count = profile.rate_limit_field.empty() ? 0 : fields.count(profile.rate_limit_field);
+    if (count == 0) {
+        return std::numeric_limits<double>::infinity();
+    }
+    const std::optional<double> rate =
+        count == 1 ? parse_decimal(fields[profile.rate_limit_field]) : std::nullopt;
+    return rate && *rate >= 0 ? rate : std::nullopt;
 }
 
 std::string_view find_cookie(const fields_type& fields, std::string_view name)
--- a/packages/dispatch/header_rules.h
+++ b/packages/dispatch/header_rules.h
@@ -80,6 +80,12 @@
 std::optional<core::duration> find_upstream_wait(unsigned status, const boost::beast::http::fields& fields,
                                                  const message_profile& profile = default_message_profile());
 
+// Returns the requests per second that an upstream takes from all instances together, as its response says;
+// infinity if the response names no limit. Returns no value if the field is repeated, negative or not a
+// decimal number.
+std::optional<double> find_upstream_rate_limit(const boost::beast::http::fields& fields,
+                                               const message_profile& profile = default_message_profile());
+
 // Returns the value of the first cookie of that name in a request; an empty text if there is none. The result
 // refers to memory of the fields.
 std::string_view find_cookie(const boost::beast::http::fields& fields, std::string_view name);
--- a/packages/dispatch/message_profile.h
+++ b/packages/dispatch/message_profile.h
@@ -38,6 +38,9 @@
     // In a response of an upstream: the value 1 says that the upstream is leaving and wants no new requests.
     // Not passed on to callers.
     std::string leaving_field;
+    // In a response of an upstream: the requests per second that the upstream takes from all instances
+    // together, as long as its responses say so. Not passed on to callers.
+    std::string rate_limit_field;
     // Whether Retry-After in a response of an upstream with status 503 says for how long the upstream wants
     // no request of this instance.
     bool has_upstream_retry_after = false;
--- a/packages/dispatch/tests/header_and_retry_test.cpp
+++ b/packages/dispatch/tests/header_and_retry_test.cpp
@@ -4,6 +4,7 @@
 #include "dispatch/retry_policy.h"
 #include "dispatch/workspace_key.h"
 
+#include <limits>
 #include <string>
 #include <vector>
 
@@ -111,6 +112,37 @@
     LONGS_EQUAL(0, header.count("Upstream-Leaving"));
 }
 
+// Guards against an upstream that names the rate that it takes and is not heard, against a malformed one that
+// is taken for a limit or for its end, and against passing it on to callers.
+TEST(header_rules, an_upstream_names_the_rate_that_it_takes)
+{
+    dispatch::message_profile profile;
+    profile.rate_limit_field = "Upstream-Limit";
+    const double no_limit = std::numeric_limits<double>::infinity();
+    struct limit_case {
+        const char* value;
+        std::optional<double> rate;
+    };
+    const std::vector<limit_case> cases{
+        {"6.2", 6.2},          {" 12 ", 12.0},        {"0", 0.0},
+        {"-1", std::nullopt},  {"", std::nullopt},    {"few", std::nullopt},
+        {"1e3", std::nullopt}, {"nan", std::nullopt}, {"6.2/s", std::nullopt},
+    };
+    for (const limit_case& expected : cases) {
+        fields header;
+        header.insert("Upstream-Limit", expected.value);
+        CHECK_TEXT(dispatch::find_upstream_rate_limit(header, profile) == expected.rate, expected.value);
+        CHECK(dispatch::find_upstream_rate_limit(header) == no_limit);
+    }
+    fields header;
+    CHECK(dispatch::find_upstream_rate_limit(header, profile) == no_limit);
+    header.insert("Upstream-Limit", "1");
+    header.insert("Upstream-Limit", "2");
+    CHECK_FALSE(dispatch::find_upstream_rate_limit(header, profile).has_value());
+    dispatch::prepare_caller_response(header, "id", profile);
+    LONGS_EQUAL(0, header.count("Upstream-Limit"));
+}
+
 // Guards against an upstream that sets control fields of quetzalspan in its response, and against the loss of
 // Content-Length when the upstream names it in Connection.
 TEST(header_rules, control_fields_are_removed_from_responses)
--- a/packages/edge/endpoint_balancer.cpp
+++ b/packages/edge/endpoint_balancer.cpp
@@ -6,6 +6,8 @@
 #include "core/stable_hash.h"
 
 #include <algorithm>
+#include <cmath>
+#include <sstream>
 
 namespace quetzalspan::edge
 {
@@ -20,6 +22,16 @@
 // Under overload many requests find no endpoint.
 constexpr double no_endpoint_lines_per_second = 20;
 
+std::string rate_text(double per_second)
+{
+    if (std::isinf(per_second)) {
+        return "none";
+    }
+    std::ostringstream text;
+    text << per_second;
+    return text.str();
+}
+
 } // namespace
 
 endpoint_balancer::endpoint_balancer(balancer_options options, fleet_position_hook get_fleet_position,
@@ -35,6 +47,9 @@
                                     "Endpoints that said in a response that they are leaving.")),
       m_waits(metrics.get_counter("upstream_waits_total",
                                   "Responses in which an endpoint asked for no request for a while.")),
+      m_limit_changes(
+          metrics.get_counter("upstream_limit_changes_total",
+                              "Responses in which an endpoint named, changed or lifted its limit.")),
       m_no_endpoint_lines(no_endpoint_lines_per_second),
       m_catalog(m_options.catalog, {log_change, [this](std::string_view service) {
                                         const routing::service* service_config =
@@ -199,6 +214,9 @@
         target->reported_load = load;
         target->load_reported_at = now;
     }
+    if (result.rate_limit) {
+        update_rate_limit(*target, request_id, *result.rate_limit);
+    }
     if (result.wait) {
         target->waits_until = std::max(target->waits_until, now + *result.wait);
         m_waits.add();
@@ -220,6 +238,22 @@
     }
 }
 
+void endpoint_balancer::update_rate_limit(placement::endpoint& target, const std::string& request_id,
+                                          double rate_limit)
+{
+    if (rate_limit == target.rate_limit) {
+        return;
+    }
+    m_limit_changes.add();
+    core::info_event("endpoint_limit")
+        .with("request_id", request_id)
+        .with("endpoint", target.record.id)
+        .with("per_second", rate_text(rate_limit))
+        .with("before", rate_text(target.rate_limit))
+        .with("instances", m_position.size);
+    target.rate_limit = rate_limit;
+}
+
 void endpoint_balancer::apply(const placement::endpoint_record& record, bool is_first_listing,
                               core::instant now)
 {
--- a/packages/edge/endpoint_balancer.h
+++ b/packages/edge/endpoint_balancer.h
@@ -95,6 +95,7 @@
                                       const attempt_request& request, core::instant now);
     void release(const placement::endpoint_pointer& target, const std::string& request_id,
                  const caller::attempt_result& result);
+    void update_rate_limit(placement::endpoint& target, const std::string& request_id, double rate_limit);
     void detect_slow_endpoints(const std::vector<placement::endpoint_pointer>& endpoints, core::instant now);
     void update_region_weights(const std::string& service,
                                const std::vector<placement::endpoint_pointer>& endpoints, core::instant now);
@@ -108,6 +109,7 @@
     burn::counter& m_ejections;
     burn::counter& m_leaving;
     burn::counter& m_waits;
+    burn::counter& m_limit_changes;
     core::log_throttle m_no_endpoint_lines;
     mutable std::mutex m_mutex;
     // The rest is guarded by m_mutex.
--- a/packages/placement/endpoint.h
+++ b/packages/placement/endpoint.h
@@ -8,6 +8,7 @@
 
 #include <cstdint>
 #include <deque>
+#include <limits>
 #include <optional>
 
 namespace quetzalspan::placement
@@ -61,6 +62,9 @@
     core::instant load_reported_at;
     // Until this time it receives no request, because it asked for that when it turned one away.
     core::instant waits_until;
+    // The requests per second that it takes from all instances together, as its last response says; infinity if
+    // that names no limit.
+    double rate_limit = std::numeric_limits<double>::infinity();
     // Until this time other endpoints are preferred because it rejected a request.
     core::instant busy_until;
 };
