Edge: Keep to the rate limits of endpoints

Cause: each instance learned the limit 60 ms after it was first named (endpoint_limit, all 7 instances), but nothing acted on it. The class of fault: a statement of an endpoint about the whole fleet that no part of the fleet is responsible for.

Now an instance needs a token for each request to an endpoint with a limit, from the granter of the endpoint, which all instances choose by the same hash. A granter begins without tokens, so that a hand-over grants nothing twice. Without an answer the instance uses an equal share, counted from when the granter fell silent. After two refusals a request goes to an endpoint without a limit, or is rejected with the time until the next token.

--- a/packages/edge/demand_exchange.cpp
+++ b/packages/edge/demand_exchange.cpp
@@ -159,6 +159,9 @@
         } else if (const token_request_message* token_request =
                        std::get_if<token_request_message>(&message)) {
             handle_token_request(*token_request, sender);
+        } else if (const endpoint_token_request_message* endpoint_token_request =
+                       std::get_if<endpoint_token_request_message>(&message)) {
+            handle_endpoint_token_request(*endpoint_token_request, sender);
         } else if (const token_answer_message* token_answer = std::get_if<token_answer_message>(&message)) {
             m_hooks.on_token_answer(*token_answer);
         } else if (const confirmation_request_message* question =
@@ -207,6 +210,16 @@
               sender);
 }
 
+void demand_exchange::handle_endpoint_token_request(const endpoint_token_request_message& message,
+                                                    const udp::endpoint& sender)
+{
+    if (!m_hooks.is_member(message.instance)) {
+        return;
+    }
+    const core::duration wait = m_hooks.grant_endpoint_token(message.endpoint, message.rate);
+    send_text(to_text(token_answer_message{message.number, wait == core::duration(0), wait}), sender);
+}
+
 void demand_exchange::handle_confirmation_request(const confirmation_request_message& message,
                                                   const udp::endpoint& sender)
 {
--- a/packages/edge/demand_exchange.h
+++ b/packages/edge/demand_exchange.h
@@ -46,6 +46,9 @@
         std::function<void(const demand_sums_message&)> on_sums;
         // Decides whether a member gets a token from the reserve of this instance.
         std::function<quota::quota_decision(const std::string& workspace)> grant;
+        // Decides whether a member gets a token of the rate limit that an endpoint has named. Returns zero if
+        // it does, otherwise the time until the next token.
+        std::function<core::duration(const std::string& endpoint, double rate)> grant_endpoint_token;
         // Called for the answer to a token request that this instance sent.
         std::function<void(const token_answer_message&)> on_token_answer;
         // Returns what this instance's copy of the store can confirm to others.
@@ -89,6 +92,8 @@
     void handle_sums(const demand_sums_message& message);
     void handle_token_request(const token_request_message& message,
                               const boost::asio::ip::udp::endpoint& sender);
+    void handle_endpoint_token_request(const endpoint_token_request_message& message,
+                                       const boost::asio::ip::udp::endpoint& sender);
     void handle_confirmation_request(const confirmation_request_message& message,
                                      const boost::asio::ip::udp::endpoint& sender);
     static constexpr std::size_t max_datagram_bytes = 16 * 1024;
--- a/packages/edge/endpoint_balancer.cpp
+++ b/packages/edge/endpoint_balancer.cpp
@@ -22,6 +22,8 @@
 // Under overload many requests find no endpoint.
 constexpr double no_endpoint_lines_per_second = 20;
 
+constexpr const char* endpoint_tokens_help = "Requests that needed a token of an endpoint's rate limit.";
+
 std::string rate_text(double per_second)
 {
     if (std::isinf(per_second)) {
@@ -50,6 +52,12 @@
       m_limit_changes(
           metrics.get_counter("upstream_limit_changes_total",
                               "Responses in which an endpoint named, changed or lifted its limit.")),
+      m_tokens_granted(
+          metrics.get_counter("endpoint_tokens_total", endpoint_tokens_help, {{"result", "granted"}})),
+      m_tokens_refused(
+          metrics.get_counter("endpoint_tokens_total", endpoint_tokens_help, {{"result", "refused"}})),
+      m_tokens_unanswered(
+          metrics.get_counter("endpoint_tokens_total", endpoint_tokens_help, {{"result", "unanswered"}})),
       m_no_endpoint_lines(no_endpoint_lines_per_second),
       m_catalog(m_options.catalog, {log_change, [this](std::string_view service) {
                                         const routing::service* service_config =
@@ -83,16 +91,24 @@
             m_options.cold_limit_utilization};
 }
 
-caller::lease_result endpoint_balancer::acquire(const attempt_request& request, core::instant now)
+placement::endpoint_selection_request endpoint_balancer::make_criteria(const attempt_request& request) const
+{
+    placement::endpoint_selection_request result;
+    result.service = *request.service;
+    result.affinity = request.route->has_affinity ? request.affinity : std::string_view();
+    result.request_id = request.request_id;
+    result.own_region = m_options.own_region;
+    result.tried_endpoint_ids = request.tried;
+    result.is_repeatable = request.route->is_repeatable;
+    result.skips_rate_limited = request.skips_rate_limited;
+    result.cold = compute_cold_limit(request.service_config);
+    return result;
+}
+
+endpoint_balancer::acquire_result endpoint_balancer::acquire(const attempt_request& request,
+                                                             core::instant now)
 {
-    placement::endpoint_selection_request criteria;
-    criteria.service = *request.service;
-    criteria.affinity = request.route->has_affinity ? request.affinity : std::string_view();
-    criteria.request_id = request.request_id;
-    criteria.own_region = m_options.own_region;
-    criteria.tried_endpoint_ids = request.tried;
-    criteria.is_repeatable = request.route->is_repeatable;
-    criteria.cold = compute_cold_limit(request.service_config);
+    placement::endpoint_selection_request criteria = make_criteria(request);
     static const std::vector<std::string> no_home_regions;
     const std::vector<std::string>& workspace_homes =
         request.workspace == nullptr ? no_home_regions : request.workspace->home_regions;
@@ -115,11 +131,43 @@
         return caller::rejection{dispatch::failure::no_permit, compute_retry_after(request, chosen)};
     }
     m_spilled.add(chosen.is_spilled ? 1 : 0);
+    if (placement::is_rate_limited(*chosen.target)) {
+        return rate_limited_endpoint{chosen.target, chosen.target->record.id, chosen.target->rate_limit};
+    }
+    return begin_send(chosen.target, request, now);
+}
+
+std::optional<caller::endpoint_lease>
+endpoint_balancer::acquire_rate_limited(const rate_limited_endpoint& chosen, const attempt_request& request,
+                                        std::optional<core::duration> token_wait, core::instant now)
+{
+    const std::lock_guard<std::mutex> guard(m_mutex);
+    placement::endpoint& target = *chosen.target;
+    bool has_token = false;
+    if (token_wait) {
+        placement::record_granter_answer(target, *token_wait, now);
+        has_token = *token_wait == core::duration(0);
+    } else {
+        has_token = placement::take_share_token(target, m_position, now);
+    }
+    (has_token ? m_tokens_granted : token_wait ? m_tokens_refused : m_tokens_unanswered).add();
+    // It may have begun to leave, or another request may have used up its cold limit, since it was chosen.
+    if (!has_token || !placement::may_receive(target) ||
+        !placement::may_send_within_cold_limit(target, compute_cold_limit(request.service_config), m_position,
+                                               now)) {
+        return std::nullopt;
+    }
+    return begin_send(chosen.target, request, now);
+}
+
+caller::endpoint_lease endpoint_balancer::begin_send(const endpoint_pointer& target,
+                                                     const attempt_request& request, core::instant now)
+{
     m_sends.add();
-    ++chosen.target->outstanding_requests;
-    ++chosen.target->sent_requests;
-    placement::record_cold_request(*chosen.target, now);
-    return make_lease(chosen.target, request, now);
+    ++target->outstanding_requests;
+    ++target->sent_requests;
+    placement::record_cold_request(*target, now);
+    return make_lease(target, request, now);
 }
 
 core::duration endpoint_balancer::compute_retry_after(const attempt_request& request,
--- a/packages/edge/endpoint_balancer.h
+++ b/packages/edge/endpoint_balancer.h
@@ -15,8 +15,10 @@
 #include <functional>
 #include <map>
 #include <mutex>
+#include <optional>
 #include <set>
 #include <string>
+#include <variant>
 #include <vector>
 
 namespace quetzalspan::edge
@@ -52,6 +54,16 @@
     const routing::service* service_config = nullptr;
     // The identities of the endpoints that earlier attempts of the request used.
     const std::vector<std::string>* tried = nullptr;
+    // Whether endpoints with a rate limit are left out.
+    bool skips_rate_limited = false;
+};
+
+// An endpoint that is chosen for an attempt and may receive it only with a token of its rate limit.
+struct rate_limited_endpoint {
+    placement::endpoint_pointer target;
+    std::string id;
+    // In requests per second.
+    double rate = 0;
 };
 
 // Thread-safe.
@@ -66,9 +78,20 @@
     endpoint_balancer(const endpoint_balancer&) = delete;
     endpoint_balancer& operator=(const endpoint_balancer&) = delete;
 
+    using acquire_result = std::variant<caller::endpoint_lease, caller::rejection, rate_limited_endpoint>;
+
     // Chooses an endpoint for an attempt. Returns a lease, which reports the result of the attempt back, or a
-    // rejection if no endpoint can take the request.
-    caller::lease_result acquire(const attempt_request& request, core::instant now);
+    // rejection if no endpoint can take the request. For an endpoint with a rate limit, the caller asks its
+    // granter for a token and then calls acquire_rate_limited().
+    acquire_result acquire(const attempt_request& request, core::instant now);
+
+    // Returns a lease for the chosen endpoint, or no value if there is no token for the request or the
+    // endpoint may not receive it any more. token_wait is the granter's answer: zero if it has granted a
+    // token, otherwise the time until the next one; no value if it did not answer.
+    std::optional<caller::endpoint_lease> acquire_rate_limited(const rate_limited_endpoint& chosen,
+                                                               const attempt_request& request,
+                                                               std::optional<core::duration> token_wait,
+                                                               core::instant now);
 
     // Apply changes from service discovery and from operators. After begin_removal_grace_period(), which is
     // called when an outage of the store has ended, endpoints that are removed are kept for a grace period.
@@ -91,6 +114,10 @@
                                        const placement::endpoint_selection& chosen) const;
     void log_no_endpoint(const attempt_request& request, const placement::endpoint_selection& chosen,
                          core::instant now);
+    placement::endpoint_selection_request make_criteria(const attempt_request& request) const;
+    // Counts a send to the endpoint and returns its lease.
+    caller::endpoint_lease begin_send(const placement::endpoint_pointer& target,
+                                      const attempt_request& request, core::instant now);
     caller::endpoint_lease make_lease(const placement::endpoint_pointer& target,
                                       const attempt_request& request, core::instant now);
     void release(const placement::endpoint_pointer& target, const std::string& request_id,
@@ -110,6 +137,9 @@
     burn::counter& m_leaving;
     burn::counter& m_waits;
     burn::counter& m_limit_changes;
+    burn::counter& m_tokens_granted;
+    burn::counter& m_tokens_refused;
+    burn::counter& m_tokens_unanswered;
     core::log_throttle m_no_endpoint_lines;
     mutable std::mutex m_mutex;
     // The rest is guarded by m_mutex.
--- a/packages/edge/fleet_membership.cpp
+++ b/packages/edge/fleet_membership.cpp
@@ -211,7 +211,17 @@
     return result;
 }
 
-region_relay fleet_membership::find_relay(const std::string& region, core::instant now) const
+designated_instance fleet_membership::find_endpoint_granter(const std::string& endpoint,
+                                                            core::instant now) const
+{
+    const std::vector<std::optional<instance_record>> candidates = granters("endpoint " + endpoint, now);
+    if (candidates.empty()) {
+        return {};
+    }
+    return {!candidates.front(), candidates.front()};
+}
+
+designated_instance fleet_membership::find_relay(const std::string& region, core::instant now) const
 {
     const std::lock_guard<std::mutex> guard(m_mutex);
     const std::pair<const std::string, member>* first = nullptr;
--- a/packages/edge/fleet_membership.h
+++ b/packages/edge/fleet_membership.h
@@ -30,11 +30,11 @@
     core::duration report_lifetime = std::chrono::milliseconds(1300);
 };
 
-// The instance of a region that holds a watch on the store and confirms the copies of the others.
-struct region_relay {
+// The instance that has a duty for others.
+struct designated_instance {
     // Whether it is this instance.
     bool is_own = false;
-    // No value if it is this instance, or if the region has none.
+    // No value if it is this instance, or if there is none at present.
     std::optional<instance_record> other;
 };
 
@@ -71,9 +71,11 @@
     // is skipped. At most two; none if only silent instances come first in the order.
     std::vector<std::optional<instance_record>> granters(const std::string& workspace,
                                                          core::instant now) const;
+    // Returns the instance that grants the tokens of the endpoint's rate limit, chosen in the same way.
+    designated_instance find_endpoint_granter(const std::string& endpoint, core::instant now) const;
     // Returns which instance of the region asks the store on behalf of the others. With few instances in the
     // region there is none.
-    region_relay find_relay(const std::string& region, core::instant now) const;
+    designated_instance find_relay(const std::string& region, core::instant now) const;
     // Returns the instances that should send messages to this one, have sent some before and have now been
     // silent for longer than the peer timeout.
     std::set<std::string, std::less<>> silent_senders(core::instant now) const;
--- a/packages/edge/instance.cpp
+++ b/packages/edge/instance.cpp
@@ -90,6 +90,9 @@
       m_rules(
           make_rule_options(m_options), m_state, m_balancer, m_fleet_quota,
           [this](std::string workspace) { return request_token(std::move(workspace)); },
+          [this](std::string endpoint, double rate) {
+              return request_endpoint_token(std::move(endpoint), rate);
+          },
           [this] { return m_membership.size(); }, m_metrics)
 {
 }
@@ -184,6 +187,9 @@
         }
     };
     hooks.grant = [this](const std::string& workspace) { return grant_token(workspace); };
+    hooks.grant_endpoint_token = [this](const std::string& endpoint, double rate) {
+        return m_rate_limit_granter.take(endpoint, rate, current_time());
+    };
     hooks.on_token_answer = [this](const token_answer_message& answer) {
         m_token_client->handle_answer(answer);
     };
@@ -206,6 +212,12 @@
         return m_demand_exchange->send(target, text);
     };
     token_hooks.grant = [this](const std::string& workspace) { return grant_token(workspace); };
+    token_hooks.endpoint_granter = [this](const std::string& endpoint) {
+        return m_membership.find_endpoint_granter(endpoint, current_time());
+    };
+    token_hooks.grant_endpoint_token = [this](const std::string& endpoint, double rate) {
+        return m_rate_limit_granter.take(endpoint, rate, current_time());
+    };
     m_token_client = std::make_unique<token_client>(executor, m_options.instance, std::move(token_hooks));
 
     confirmation_client::hooks confirmation_hooks;
@@ -221,7 +233,7 @@
 
 store::watch_mode instance::find_watch_mode() const
 {
-    const region_relay relay = m_membership.find_relay(m_options.region, current_time());
+    const designated_instance relay = m_membership.find_relay(m_options.region, current_time());
     if (relay.is_own) {
         return store::watch_mode::serving;
     }
@@ -344,6 +356,15 @@
     co_return result;
 }
 
+asio::awaitable<std::optional<core::duration>> instance::request_endpoint_token(std::string endpoint,
+                                                                                double rate)
+{
+    const std::optional<core::duration> result = co_await asio::co_spawn(
+        m_control_context, m_token_client->request_endpoint_token(std::move(endpoint), rate),
+        asio::use_awaitable);
+    co_return result;
+}
+
 asio::awaitable<void> instance::run_periodic_tasks()
 {
     core::instant maintained_at = current_time();
@@ -356,6 +377,7 @@
             maintained_at = now;
             m_pool->close_expired(now);
             update_granter_roles(now);
+            m_rate_limit_granter.remove_idle(now);
         }
     }
 }
--- a/packages/edge/instance.h
+++ b/packages/edge/instance.h
@@ -13,6 +13,7 @@
 #include "edge/store_watcher.h"
 #include "edge/token_client.h"
 #include "http/server.h"
+#include "placement/rate_limit.h"
 #include "quota/shared_reserve.h"
 #include "upstream/connection_pool.h"
 
@@ -77,6 +78,10 @@
     // Asks the fleet for a token of the workspace. Called on a request thread; the request itself is sent
     // from the control thread.
     boost::asio::awaitable<quota::quota_decision> request_token(std::string workspace);
+    // Asks the granter of the endpoint for a token; see token_client::request_endpoint_token(). Called on a
+    // request thread.
+    boost::asio::awaitable<std::optional<core::duration>> request_endpoint_token(std::string endpoint,
+                                                                                 double rate);
     boost::asio::awaitable<void> run_periodic_tasks();
     boost::asio::awaitable<void> stop();
     instance_record own_record() const;
@@ -95,6 +100,8 @@
     fleet_membership m_membership;
     quota::fleet_quota m_fleet_quota;
     quota::grantable_reserve m_reserve;
+    // Used by the control thread only.
+    placement::rate_limit_granter m_rate_limit_granter;
     endpoint_balancer m_balancer;
     request_rules m_rules;
     std::shared_ptr<upstream::connection_pool> m_pool;
--- a/packages/edge/peer_message.cpp
+++ b/packages/edge/peer_message.cpp
@@ -16,6 +16,7 @@
 constexpr const char* report_method = "demand";
 constexpr const char* sums_method = "demand_sums";
 constexpr const char* token_request_method = "token_request";
+constexpr const char* endpoint_token_request_method = "endpoint_token_request";
 constexpr const char* token_answer_method = "token_answer";
 constexpr const char* confirmation_request_method = "confirmation_request";
 constexpr const char* confirmation_method = "confirmation";
@@ -27,6 +28,8 @@
 // Rates are encoded as integers in tenths of a request per second.
 constexpr double rate_steps_per_rps = 10;
 constexpr std::uint64_t max_rate_steps = 1'000'000'000;
+// Limits of endpoints can be low, and are encoded as integers in thousandths of a request per second.
+constexpr double endpoint_rate_steps_per_rps = 1000;
 // Far above the size of any fleet. Bounds the effect of a forged message on the shares of a limit.
 constexpr std::uint64_t max_reporters = 100'000;
 
@@ -96,6 +99,17 @@
     return result;
 }
 
+endpoint_token_request_message read_endpoint_token_request(codec::json_reader& in, const Json::Value& params)
+{
+    endpoint_token_request_message result;
+    result.instance = in.read_string(params, "instance", "params");
+    result.number = in.read_unsigned(params, "number", "params");
+    result.endpoint = in.read_string(params, "endpoint", "params");
+    const std::uint64_t steps = in.read_unsigned(params, "rate", "params", max_rate_steps);
+    result.rate = static_cast<double>(steps) / endpoint_rate_steps_per_rps;
+    return result;
+}
+
 token_answer_message read_token_answer(codec::json_reader& in, const Json::Value& params)
 {
     token_answer_message result;
@@ -154,6 +168,18 @@
     return to_notification(token_request_method, std::move(params));
 }
 
+std::string to_text(const endpoint_token_request_message& message)
+{
+    Json::Value params;
+    params["instance"] = message.instance;
+    params["number"] = Json::UInt64(message.number);
+    params["endpoint"] = message.endpoint;
+    const double steps =
+        std::min(message.rate * endpoint_rate_steps_per_rps, static_cast<double>(max_rate_steps));
+    params["rate"] = Json::Int64(std::llround(steps));
+    return to_notification(endpoint_token_request_method, std::move(params));
+}
+
 std::string to_text(const token_answer_message& message)
 {
     Json::Value params;
@@ -201,6 +227,8 @@
         result = read_sums(in, params);
     } else if (method == token_request_method) {
         result = read_token_request(in, params);
+    } else if (method == endpoint_token_request_method) {
+        result = read_endpoint_token_request(in, params);
     } else if (method == token_answer_method) {
         result = read_token_answer(in, params);
     } else if (method == confirmation_request_method) {
--- a/packages/edge/peer_message.h
+++ b/packages/edge/peer_message.h
@@ -1,6 +1,7 @@
 // The messages between instances: demand reports, which also serve as heartbeats; the sums that a collector
-// returns; requests for rate-limit tokens with their answers; and questions whether a copy of the store is up
-// to date, with their answers. Each is a JSON-RPC notification in a datagram of its own.
+// returns; requests for tokens of the rate limits of workspaces and endpoints, with their answers; and
+// questions whether a copy of the store is up to date, with their answers. Each is a JSON-RPC notification in
+// a datagram of its own.
 
 #pragma once
 
@@ -37,6 +38,16 @@
     std::string workspace;
 };
 
+// Asks for a token of the rate limit that an endpoint has named. A token_answer_message answers it.
+struct endpoint_token_request_message {
+    std::string instance;
+    // Identifies the request; chosen by the sender and returned in the answer.
+    std::uint64_t number = 0;
+    std::string endpoint;
+    // The limit in requests per second.
+    double rate = 0;
+};
+
 struct token_answer_message {
     // The number of the request.
     std::uint64_t number = 0;
@@ -62,12 +73,14 @@
 };
 
 using peer_message = std::variant<demand_report_message, demand_sums_message, token_request_message,
-                                  token_answer_message, confirmation_request_message, confirmation_message>;
+                                  endpoint_token_request_message, token_answer_message,
+                                  confirmation_request_message, confirmation_message>;
 
 // Return the message as the JSON text of a datagram.
 std::string to_text(const demand_report_message& message);
 std::string to_text(const demand_sums_message& message);
 std::string to_text(const token_request_message& message);
+std::string to_text(const endpoint_token_request_message& message);
 std::string to_text(const token_answer_message& message);
 std::string to_text(const confirmation_request_message& message);
 std::string to_text(const confirmation_message& message);
--- a/packages/edge/request_rules.cpp
+++ b/packages/edge/request_rules.cpp
@@ -61,13 +61,14 @@
 
 request_rules::request_rules(request_rule_options options, const traffic_state& state,
                              endpoint_balancer& balancer, quota::fleet_quota& fleet_quota,
-                             token_hook request_token, std::function<std::uint32_t()> fleet_size,
-                             burn::metrics_registry& metrics)
+                             token_hook request_token, endpoint_token_hook request_endpoint_token,
+                             std::function<std::uint32_t()> fleet_size, burn::metrics_registry& metrics)
     : m_options(options),
       m_state(state),
       m_balancer(balancer),
       m_fleet_quota(fleet_quota),
       m_request_token(std::move(request_token)),
+      m_request_endpoint_token(std::move(request_endpoint_token)),
       m_fleet_size(std::move(fleet_size)),
       m_split(random_fraction()),
       m_relayed(
@@ -102,7 +103,7 @@
     result.acquire_endpoint = [this](const request_summary& request, const admission& admitted,
                                      const std::vector<std::string>& tried,
                                      caller::wait_context&) -> asio::awaitable<caller::lease_result> {
-        co_return acquire(request, admitted, tried, current_time());
+        co_return co_await acquire(request, admitted, tried);
     };
     result.recheck_authorization = [this](const request_summary& request, const admission& admitted,
                                           core::instant) { return recheck(request, admitted); };
@@ -234,8 +235,9 @@
         .with("lines_skipped", *skipped);
 }
 
-caller::lease_result request_rules::acquire(const request_summary& request, const admission& admitted,
-                                            const std::vector<std::string>& tried, core::instant now)
+asio::awaitable<caller::lease_result> request_rules::acquire(const request_summary& request,
+                                                             const admission& admitted,
+                                                             const std::vector<std::string>& tried)
 {
     const request_context& context = get_context(admitted);
     attempt_request attempt;
@@ -246,7 +248,24 @@
     attempt.workspace = context.workspace;
     attempt.service_config = context.service_config;
     attempt.tried = &tried;
-    return m_balancer.acquire(attempt, now);
+    for (std::uint32_t token_requests = 0;; ++token_requests) {
+        attempt.skips_rate_limited = token_requests == m_options.max_endpoint_token_requests;
+        endpoint_balancer::acquire_result chosen = m_balancer.acquire(attempt, current_time());
+        if (caller::endpoint_lease* lease = std::get_if<caller::endpoint_lease>(&chosen)) {
+            co_return std::move(*lease);
+        }
+        if (const rejection* rejected = std::get_if<rejection>(&chosen)) {
+            co_return *rejected;
+        }
+        const rate_limited_endpoint limited = std::get<rate_limited_endpoint>(chosen);
+        const std::optional<core::duration> token_wait =
+            co_await m_request_endpoint_token(limited.id, limited.rate);
+        std::optional<caller::endpoint_lease> lease =
+            m_balancer.acquire_rate_limited(limited, attempt, token_wait, current_time());
+        if (lease) {
+            co_return std::move(*lease);
+        }
+    }
 }
 
 std::optional<rejection> request_rules::recheck(const request_summary& request,
--- a/packages/edge/request_rules.h
+++ b/packages/edge/request_rules.h
@@ -38,6 +38,9 @@
     // Maximum number of attempts beyond the limit of the route, allowed for attempts that failed before
     // anything was sent.
     std::uint32_t max_unsent_attempts = 2;
+    // Endpoints with a rate limit that are asked for a token for one attempt. After that, only endpoints
+    // without a limit are chosen.
+    std::uint32_t max_endpoint_token_requests = 2;
     // With less time than this left until the deadline, a retry would only add load.
     core::duration min_remaining_time = std::chrono::milliseconds(40);
     // Retry-after time given to callers while no configuration is known or its confirmation is too old.
@@ -55,10 +58,16 @@
 public:
     // Asks the fleet for a token of the workspace's limit.
     using token_hook = std::function<boost::asio::awaitable<quota::quota_decision>(std::string workspace)>;
+    // Asks the granter of an endpoint for a token of the rate, in requests per second, that the endpoint has
+    // named. Returns zero if it grants one, otherwise the time until the next one; no value without an
+    // answer.
+    using endpoint_token_hook = std::function<boost::asio::awaitable<std::optional<core::duration>>(
+        std::string endpoint, double rate)>;
 
     request_rules(request_rule_options options, const traffic_state& state, endpoint_balancer& balancer,
                   quota::fleet_quota& fleet_quota, token_hook request_token,
-                  std::function<std::uint32_t()> fleet_size, burn::metrics_registry& metrics);
+                  endpoint_token_hook request_endpoint_token, std::function<std::uint32_t()> fleet_size,
+                  burn::metrics_registry& metrics);
 
     request_rules(const request_rules&) = delete;
     request_rules& operator=(const request_rules&) = delete;
@@ -78,8 +87,9 @@
     // asked_at is when the request was checked against this instance's share of the limit.
     void log_rate_limited(const caller::admission& admitted, const quota::quota_decision& decision,
                           core::duration retry_after, core::instant asked_at);
-    caller::lease_result acquire(const caller::request_summary& request, const caller::admission& admitted,
-                                 const std::vector<std::string>& tried, core::instant now);
+    boost::asio::awaitable<caller::lease_result> acquire(const caller::request_summary& request,
+                                                         const caller::admission& admitted,
+                                                         const std::vector<std::string>& tried);
     std::optional<caller::rejection> recheck(const caller::request_summary& request,
                                              const caller::admission& admitted) const;
     bool may_retry(const caller::admission& admitted, const caller::request_summary& request,
@@ -92,6 +102,7 @@
     endpoint_balancer& m_balancer;
     quota::fleet_quota& m_fleet_quota;
     token_hook m_request_token;
+    endpoint_token_hook m_request_endpoint_token;
     std::function<std::uint32_t()> m_fleet_size;
     routing::traffic_split m_split;
     burn::counter& m_relayed;
--- a/packages/edge/tests/edge_test.cpp
+++ b/packages/edge/tests/edge_test.cpp
@@ -8,6 +8,7 @@
 #include "core/findings.h"
 
 #include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/use_future.hpp>
 
@@ -87,6 +88,12 @@
     CHECK_EQUAL(9U, token.number);
     CHECK_TRUE(token.is_granted);
     CHECK(token.retry_after == milliseconds(40));
+    const endpoint_token_request_message endpoint_request = std::get<endpoint_token_request_message>(
+        parse_peer_message(to_text(endpoint_token_request_message{"a", 9, "i-1", 6.25}), "t"));
+    CHECK_EQUAL(std::string("a"), endpoint_request.instance);
+    CHECK_EQUAL(9U, endpoint_request.number);
+    CHECK_EQUAL(std::string("i-1"), endpoint_request.endpoint);
+    DOUBLES_EQUAL(6.25, endpoint_request.rate, 1e-9);
 
     for (const char* text : {"", "{}", "{\"method\":\"other\",\"params\":{}}",
                              "{\"method\":\"demand\",\"params\":{\"instance\":\"a\",\"sequence\":1,\"rates\":"
@@ -206,6 +213,24 @@
     }
 }
 
+// Guards against instances that ask different granters for the tokens of an endpoint, each of which would
+// grant the whole rate.
+TEST(fleet_membership, an_endpoint_has_one_granter)
+{
+    fleet_membership other{{"b", seconds(3), seconds(2)}};
+    for (const char* name : {"own", "b", "c"}) {
+        membership.put(make_instance(name, "savo"), start);
+        other.put(make_instance(name, "savo"), start);
+    }
+    for (int index = 0; index < 20; ++index) {
+        const std::string endpoint = std::to_string(index);
+        const designated_instance here = membership.find_endpoint_granter(endpoint, start);
+        const designated_instance there = other.find_endpoint_granter(endpoint, start);
+        CHECK(here.is_own != here.other.has_value());
+        CHECK_EQUAL(here.is_own ? "own" : here.other->instance, there.is_own ? "b" : there.other->instance);
+    }
+}
+
 // Guards against instances of a region that ask different relays, against a relay in a region that is too
 // small for one, and against a relay that has fallen silent.
 TEST(fleet_membership, a_region_has_one_relay)
@@ -217,23 +242,23 @@
     for (const char* name : {"e", "f", "g"}) {
         membership.put(make_instance(name, "uusimaa"), start);
     }
-    const region_relay here = membership.find_relay("savo", start);
+    const designated_instance here = membership.find_relay("savo", start);
     const std::string relay = here.is_own ? "own" : here.other->instance;
     for (const std::string& name : all) {
         fleet_membership other{{name, seconds(3), seconds(2)}};
         for (const std::string& member : all) {
             other.put(make_instance(member, "savo"), start);
         }
-        const region_relay there = other.find_relay("savo", start);
+        const designated_instance there = other.find_relay("savo", start);
         CHECK_EQUAL(name == relay, there.is_own);
         CHECK_TRUE(there.is_own || there.other->instance == relay);
     }
-    const region_relay none = membership.find_relay("uusimaa", start);
+    const designated_instance none = membership.find_relay("uusimaa", start);
     CHECK_FALSE(none.is_own);
     CHECK_FALSE(none.other.has_value());
     if (!here.is_own) {
         membership.record_silence_report("e", {relay}, start);
-        const region_relay next = membership.find_relay("savo", start);
+        const designated_instance next = membership.find_relay("savo", start);
         CHECK_TRUE(next.is_own || next.other->instance != relay);
     }
 }
@@ -289,7 +314,7 @@
         options.retry_budget_slack = 10;
         rules = std::make_unique<request_rules>(
             options, state, balancer, limits, [this](std::string) { return answer_token(); },
-            [] { return 2U; }, metrics);
+            [this](std::string, double) { return answer_endpoint_token(); }, [] { return 2U; }, metrics);
         hooks = rules->hooks();
     }
 
@@ -353,6 +378,16 @@
         co_return result;
     }
 
+    // What the granter of an endpoint answers; without a value it does not answer.
+    std::optional<core::duration> endpoint_token_wait;
+    int endpoint_token_requests = 0;
+
+    boost::asio::awaitable<std::optional<core::duration>> answer_endpoint_token()
+    {
+        ++endpoint_token_requests;
+        co_return endpoint_token_wait;
+    }
+
     caller::admission admit(std::string_view target) const
     {
         return std::get<caller::admission>(hooks.route_request(request(target), start));
@@ -514,6 +549,61 @@
     CHECK_TRUE(is_admitted());
 }
 
+// Guards against an endpoint that has named a limit and receives requests without a token, and against a
+// request that is rejected although another endpoint takes it.
+TEST(request_rules, an_endpoint_with_a_limit_receives_only_requests_with_a_token)
+{
+    configure(make_configuration(1), seconds(0));
+    for (const char* id : {"a", "b"}) {
+        placement::endpoint_record record;
+        record.id = id;
+        record.service = "orders";
+        record.host = "127.0.0.1";
+        record.port = 9;
+        record.region = "savo";
+        balancer.apply(record, true, start);
+    }
+    const caller::admission admitted = admit("/keyed/a");
+    const std::function<std::string()> acquire = [&] {
+        boost::asio::io_context context;
+        caller::wait_context wait;
+        const std::vector<std::string> tried;
+        std::optional<caller::lease_result> acquired;
+        boost::asio::co_spawn(
+            context,
+            [&]() -> boost::asio::awaitable<void> {
+                acquired.emplace(co_await hooks.acquire_endpoint(request("/keyed/a"), admitted, tried, wait));
+            },
+            boost::asio::detached);
+        context.run();
+        caller::endpoint_lease* lease = std::get_if<caller::endpoint_lease>(&*acquired);
+        if (lease == nullptr) {
+            return std::string("rejected");
+        }
+        caller::attempt_result answered;
+        answered.was_contacted = true;
+        answered.status = 200;
+        answered.rate_limit = 6;
+        const std::string id = lease->identity();
+        lease->release(answered);
+        return id;
+    };
+    const std::string preferred = acquire();
+    CHECK_EQUAL(0, endpoint_token_requests);
+    endpoint_token_wait = core::duration(0);
+    CHECK_EQUAL(preferred, acquire());
+    CHECK_EQUAL(1, endpoint_token_requests);
+    endpoint_token_wait = milliseconds(200);
+    const std::string other = acquire();
+    CHECK(other != preferred);
+    CHECK(other != "rejected");
+    // Both endpoints have named a limit now, and neither has a token left.
+    CHECK_EQUAL(std::string("rejected"), acquire());
+    const int asked = endpoint_token_requests;
+    CHECK_EQUAL(std::string("rejected"), acquire());
+    CHECK_EQUAL(asked, endpoint_token_requests);
+}
+
 // Guards against sending a request to a draining endpoint, and against a rejection without a retry-after
 // time.
 TEST(request_rules, a_draining_endpoint_receives_nothing)
@@ -538,7 +628,7 @@
     record.phase = placement::endpoint_phase::draining;
     record.sequence = 1;
     balancer.apply(record, false, start);
-    const caller::lease_result refused = balancer.acquire(wanted, start);
+    const endpoint_balancer::acquire_result refused = balancer.acquire(wanted, start);
     CHECK_TRUE(std::holds_alternative<caller::rejection>(refused));
     CHECK(std::get<caller::rejection>(refused).retry_after > core::duration(0));
 }
--- a/packages/edge/tests/token_client_test.cpp
+++ b/packages/edge/tests/token_client_test.cpp
@@ -33,7 +33,7 @@
                 answers.find(target.instance);
             if (answer != answers.end()) {
                 token_answer_message sent = answer->second;
-                sent.number = std::get<token_request_message>(parse_peer_message(text, "test")).number;
+                sent.number = read_number(parse_peer_message(text, "test"));
                 boost::asio::post(context, [this, sent] { client.handle_answer(sent); });
             }
             return true;
@@ -43,9 +43,29 @@
             decision.is_admitted = is_own_granted;
             return decision;
         };
+        hooks.endpoint_granter = [this](const std::string&) { return endpoint_granter; };
+        hooks.grant_endpoint_token = [](const std::string&, double) { return milliseconds(30); };
         return hooks;
     }
 
+    designated_instance endpoint_granter;
+
+    static std::uint64_t read_number(const peer_message& message)
+    {
+        const token_request_message* request = std::get_if<token_request_message>(&message);
+        return request != nullptr ? request->number
+                                  : std::get<endpoint_token_request_message>(message).number;
+    }
+
+    std::optional<core::duration> ask_endpoint_token()
+    {
+        std::future<std::optional<core::duration>> result =
+            boost::asio::co_spawn(context, client.request_endpoint_token("i-1", 6), boost::asio::use_future);
+        context.restart();
+        context.run();
+        return result.get();
+    }
+
     static instance_record collector(const std::string& name)
     {
         instance_record result;
@@ -132,3 +152,23 @@
     }
     CHECK_EQUAL(32U, asked.size());
 }
+
+// Guards against a request that takes a missing answer for a token, and against each request waiting for a
+// granter that has ended.
+TEST(token_client, the_token_of_an_endpoint_comes_from_its_granter)
+{
+    CHECK_FALSE(ask_endpoint_token().has_value());
+    endpoint_granter = {true, std::nullopt};
+    CHECK(ask_endpoint_token() == milliseconds(30));
+    CHECK_TRUE(asked.empty());
+    endpoint_granter = {false, collector("a")};
+    answers["a"] = {0, true, milliseconds(0)};
+    CHECK(ask_endpoint_token() == milliseconds(0));
+    answers["a"] = {0, false, milliseconds(90)};
+    CHECK(ask_endpoint_token() == milliseconds(90));
+    answers.clear();
+    CHECK_FALSE(ask_endpoint_token().has_value());
+    CHECK_EQUAL(3U, asked.size());
+    CHECK_FALSE(ask_endpoint_token().has_value());
+    CHECK_EQUAL(3U, asked.size());
+}
--- a/packages/edge/token_client.cpp
+++ b/packages/edge/token_client.cpp
@@ -43,10 +43,10 @@
 }
 
 asio::awaitable<std::optional<token_answer_message>>
-token_client::ask_collector(const instance_record& collector, const std::string& workspace)
+token_client::ask_collector(const instance_record& collector, std::uint64_t number,
+                            const std::string& request, const std::string& subject)
 {
-    const std::uint64_t number = m_pending.take_number();
-    if (!m_hooks.send(collector, to_text(token_request_message{m_own_instance, number, workspace}))) {
+    if (!m_hooks.send(collector, request)) {
         co_return std::nullopt;
     }
     const std::optional<token_answer_message> answer = co_await m_pending.wait(number, answer_timeout);
@@ -54,7 +54,7 @@
         if (const std::optional<std::uint64_t> skipped =
                 m_unanswered_lines.try_take(std::chrono::steady_clock::now())) {
             core::info_event("token_not_answered")
-                .with("workspace", workspace)
+                .with("for", subject)
                 .with("collector", collector.instance)
                 .with("lines_skipped", *skipped);
         }
@@ -95,7 +95,10 @@
             is_answered = true;
             break;
         }
-        const std::optional<token_answer_message> answer = co_await ask_collector(*collector, workspace);
+        const std::uint64_t number = m_pending.take_number();
+        const std::string request = to_text(token_request_message{m_own_instance, number, workspace});
+        const std::optional<token_answer_message> answer =
+            co_await ask_collector(*collector, number, request, workspace);
         if (answer) {
             result.is_admitted = answer->is_granted;
             result.retry_after = answer->retry_after;
@@ -113,4 +116,30 @@
     co_return result;
 }
 
+asio::awaitable<std::optional<core::duration>> token_client::request_endpoint_token(std::string endpoint,
+                                                                                    double rate)
+{
+    const designated_instance granter = m_hooks.endpoint_granter(endpoint);
+    if (granter.is_own) {
+        co_return m_hooks.grant_endpoint_token(endpoint, rate);
+    }
+    if (!granter.other) {
+        co_return std::nullopt;
+    }
+    core::instant& paused_until = m_granter_paused_until[granter.other->instance];
+    if (std::chrono::steady_clock::now() < paused_until) {
+        co_return std::nullopt;
+    }
+    const std::uint64_t number = m_pending.take_number();
+    const std::string request =
+        to_text(endpoint_token_request_message{m_own_instance, number, endpoint, rate});
+    const std::optional<token_answer_message> answer =
+        co_await ask_collector(*granter.other, number, request, endpoint);
+    if (!answer) {
+        paused_until = std::chrono::steady_clock::now() + unanswered_pause;
+        co_return std::nullopt;
+    }
+    co_return answer->is_granted ? core::duration(0) : std::max(answer->retry_after, min_rejection_pause);
+}
+
 } // namespace quetzalspan::edge
--- a/packages/edge/token_client.h
+++ b/packages/edge/token_client.h
@@ -1,9 +1,10 @@
-// Asks collectors for rate-limit tokens from the shared reserve of a workspace, for requests that find none
-// left in the share of this instance.
+// Asks other instances for rate-limit tokens: from the shared reserve of a workspace, for requests that find
+// none left in the share of this instance, and of the rate limits that endpoints name.
 
 #pragma once
 
 #include "core/log_throttle.h"
+#include "edge/fleet_membership.h"
 #include "edge/instance_record.h"
 #include "edge/peer_message.h"
 #include "edge/pending_answers.h"
@@ -36,6 +37,11 @@
         std::function<bool(const instance_record& target, const std::string& text)> send;
         // Takes a token from the reserve of this instance.
         std::function<quota::quota_decision(const std::string& workspace)> grant;
+        // Returns the instance that grants the tokens of the endpoint's rate limit.
+        std::function<designated_instance(const std::string& endpoint)> endpoint_granter;
+        // Takes a token of the endpoint's rate limit from this instance, which is the granter. Returns zero
+        // if there is one, otherwise the time until the next one.
+        std::function<core::duration(const std::string& endpoint, double rate)> grant_endpoint_token;
     };
 
     token_client(const boost::asio::any_io_executor& executor, std::string own_instance, hooks callbacks);
@@ -49,6 +55,12 @@
     // longer pause if no collector has answered.
     boost::asio::awaitable<quota::quota_decision> request_token(std::string workspace);
 
+    // Asks the granter of an endpoint for a token of the rate, in requests per second, that the endpoint has
+    // named. Returns zero if it grants one, otherwise the time until the next one; no value if it does not
+    // answer. A granter that has not answered is not asked for a while.
+    boost::asio::awaitable<std::optional<core::duration>> request_endpoint_token(std::string endpoint,
+                                                                                 double rate);
+
     // Returns the time for which requests of the workspace are rejected without asking, or no value if a
     // collector would be asked. Can be called from any thread.
     std::optional<core::duration> find_pause(const std::string& workspace, core::instant now) const;
@@ -57,8 +69,11 @@
     void handle_answer(const token_answer_message& answer) { m_pending.handle(answer); }
 
 private:
+    // Sends the request with the number to a collector and waits for the answer. The subject is what a token
+    // is requested for.
     boost::asio::awaitable<std::optional<token_answer_message>>
-    ask_collector(const instance_record& collector, const std::string& workspace);
+    ask_collector(const instance_record& collector, std::uint64_t number, const std::string& request,
+                  const std::string& subject);
     void pause(const std::string& workspace, core::instant until);
 
     std::string m_own_instance;
@@ -71,6 +86,8 @@
     // The time until which a workspace is rejected without asking a collector, by workspace. Guarded by
     // m_pause_mutex.
     std::map<std::string, core::instant> m_paused_until;
+    // The time until which a granter of endpoints' tokens that has not answered is not asked, by instance.
+    std::map<std::string, core::instant> m_granter_paused_until;
 };
 
 } // namespace quetzalspan::edge
--- a/packages/placement/endpoint.h
+++ b/packages/placement/endpoint.h
@@ -62,9 +62,15 @@
     core::instant load_reported_at;
     // Until this time it receives no request, because it asked for that when it turned one away.
     core::instant waits_until;
-    // The requests per second that it takes from all instances together, as its last response says; infinity if
-    // that names no limit.
+    // The requests per second that it takes from all instances together, as its last response says; infinity
+    // if that names no limit.
     double rate_limit = std::numeric_limits<double>::infinity();
+    // Until this time the granter of its tokens, or this instance's share of the rate, has none left.
+    core::instant token_expected_at;
+    // The tokens left in this instance's share of the rate, and when they were counted; no time while the
+    // granter answers.
+    double share_tokens = 0;
+    std::optional<core::instant> share_updated_at;
     // Until this time other endpoints are preferred because it rejected a request.
     core::instant busy_until;
 };
--- a/packages/placement/endpoint_selection.cpp
+++ b/packages/placement/endpoint_selection.cpp
@@ -43,7 +43,7 @@
                               const fleet_view& fleet, const endpoint_selection_options& options,
                               core::instant now)
 {
-    if (now < candidate.waits_until || !may_send_within_cold_limit(candidate, request.cold, fleet, now)) {
+    if (!may_send_within_cold_limit(candidate, request.cold, fleet, now)) {
         return penalty_level::unavailable;
     }
     if (now < candidate.ejected_until) {
@@ -63,6 +63,14 @@
     return penalty_level::none;
 }
 
+// Returns the time until the endpoint wants a request again; not above zero if it takes one now.
+core::duration compute_wait(const endpoint& candidate, core::instant now)
+{
+    const core::duration token_wait =
+        is_rate_limited(candidate) ? candidate.token_expected_at - now : core::duration(0);
+    return std::max(candidate.waits_until - now, token_wait);
+}
+
 bool is_candidate(const endpoint& entry, const endpoint_selection_request& request)
 {
     if (!may_receive(entry) || !request.is_region_allowed(entry.record.region)) {
@@ -142,10 +150,14 @@
         const double weight = (is_own_region ? options.own_region_weight : 1.0) * region_weight;
         const double score = -std::log(hash_to_unit_interval(object_hash, entry->id_hash)) / weight;
         lowest_score = std::min(lowest_score, score);
-        if (now < entry->waits_until) {
+        const core::duration wait = compute_wait(*entry, now);
+        if (wait > core::duration(0)) {
             ++waiting;
-            const core::duration wait = entry->waits_until - now;
             result.earliest_wait = std::min(result.earliest_wait.value_or(wait), wait);
+            continue;
+        }
+        if (request.skips_rate_limited && is_rate_limited(*entry)) {
+            continue;
         }
         const penalty_level level = compute_penalty(*entry, request, fleet, options, now);
         if (level == penalty_level::none && is_first_request_due(*entry, request, fleet, options, now)) {
--- a/packages/placement/endpoint_selection.h
+++ b/packages/placement/endpoint_selection.h
@@ -9,6 +9,7 @@
 
 #include "placement/cold_start.h"
 #include "placement/endpoint_catalog.h"
+#include "placement/rate_limit.h"
 
 #include <functional>
 #include <optional>
@@ -63,6 +64,8 @@
     const std::vector<std::string>* tried_endpoint_ids = nullptr;
     // Whether the request may run more than once.
     bool is_repeatable = false;
+    // Whether endpoints with a rate limit are left out.
+    bool skips_rate_limited = false;
     cold_limit cold;
 };
 
@@ -78,8 +81,9 @@
     endpoint_pointer target;
     // Valid only if target is null.
     endpoint_selection_error fault = endpoint_selection_error::no_endpoint;
-    // If target is null and all endpoints that may serve the request have asked for no request for a while:
-    // the time until the first of them may receive one again. Otherwise no value.
+    // If target is null and all endpoints that may serve the request have asked for no request for a while or
+    // have reached their rate limits: the time until the first of them may receive one again. Otherwise no
+    // value.
     std::optional<core::duration> earliest_wait;
     // Whether the object's order prefers another endpoint that may serve the request.
     bool is_spilled = false;
