Placement: Let a new granter wait before it grants tokens

Cause: a new granter began to count tokens at the first question, when the former granter still granted to instances that had not heard of the change, and when instances that had not heard of the limit still sent without tokens. Tokens now count from one second later, and at most a quarter of a second's are saved up. Test, failing before: rate_limit.a_granter_waits_before_it_takes_over_and_saves_up_few_tokens.

--- a/packages/placement/rate_limit.cpp
+++ b/packages/placement/rate_limit.cpp
@@ -12,7 +12,7 @@
 {
 
 // Tokens of this time, and one more, can be saved up while nobody asks for them.
-constexpr core::duration max_saved_time = std::chrono::milliseconds(500);
+constexpr core::duration max_saved_time = std::chrono::milliseconds(250);
 
 core::duration to_duration(double seconds)
 {
@@ -53,7 +53,10 @@
 core::duration rate_limit_granter::take(const std::string& endpoint_id, double rate, core::instant now)
 {
     const double used_rate = std::max(rate, min_rate_limit);
-    bucket& granted = m_buckets.try_emplace(endpoint_id, bucket{0, now}).first->second;
+    bucket& granted = m_buckets.try_emplace(endpoint_id, bucket{0, now + takeover_delay}).first->second;
+    if (now < granted.updated_at) {
+        return granted.updated_at - now + to_duration(1 / used_rate);
+    }
     const double capacity = 1 + used_rate * core::to_seconds(max_saved_time);
     const double earned = used_rate * core::to_seconds(now - granted.updated_at);
     granted.tokens = std::min(granted.tokens + earned, capacity);
--- a/packages/placement/rate_limit.h
+++ b/packages/placement/rate_limit.h
@@ -33,8 +33,9 @@
 {
 public:
     // Returns zero if a token is granted, and the time until the next one otherwise. The rate is the one that
-    // the endpoint has named to the instance that asks, in requests per second. An endpoint that was not
-    // asked for within idle_lifetime has no tokens at first: another instance may have granted them.
+    // the endpoint has named to the instance that asks, in requests per second. Tokens of an endpoint that
+    // was not asked for within idle_lifetime accumulate from takeover_delay later: until then a former
+    // granter may go on, or instances that do not know of the limit yet.
     core::duration take(const std::string& endpoint_id, double rate, core::instant now);
 
     // Removes the endpoints that were not asked for within idle_lifetime. Called periodically.
@@ -43,10 +44,13 @@
     std::size_t size() const { return m_buckets.size(); }
 
     static constexpr core::duration idle_lifetime = std::chrono::seconds(30);
+    // The time within which instances learn of a change in the fleet.
+    static constexpr core::duration takeover_delay = std::chrono::seconds(1);
 
 private:
     struct bucket {
         double tokens = 0;
+        // When the tokens were counted; in the future for a new granter.
         core::instant updated_at;
     };
 
