Edge: Choose the granter of an endpoint by the store's list alone

Cause: the granter was the first instance that was not silent, and instances of the zone that had been cut off took four others for silent until 20.2 s, 8 s after the cut had healed. Any choice that depends on what each instance hears gives several granters. The granter is now the first one in the store's list; while it is silent, instances use their equal shares. Test, failing before: fleet_membership.an_endpoint_has_one_granter.

--- a/packages/edge/fleet_membership.cpp
+++ b/packages/edge/fleet_membership.cpp
@@ -211,14 +211,18 @@
     return result;
 }
 
-designated_instance fleet_membership::find_endpoint_granter(const std::string& endpoint,
-                                                            core::instant now) const
+designated_instance fleet_membership::find_endpoint_granter(const std::string& endpoint) const
 {
-    const std::vector<std::optional<instance_record>> candidates = granters("endpoint " + endpoint, now);
-    if (candidates.empty()) {
+    const std::lock_guard<std::mutex> guard(m_mutex);
+    const std::vector<std::string>& order = find_granter_order("endpoint " + endpoint);
+    if (order.empty()) {
         return {};
     }
-    return {!candidates.front(), candidates.front()};
+    const std::string& name = order.front();
+    if (name == m_options.own_instance) {
+        return {true, std::nullopt};
+    }
+    return {false, m_members.find(name)->second.record};
 }
 
 designated_instance fleet_membership::find_relay(const std::string& region, core::instant now) const
--- a/packages/edge/fleet_membership.h
+++ b/packages/edge/fleet_membership.h
@@ -71,8 +71,10 @@
     // is skipped. At most two; none if only silent instances come first in the order.
     std::vector<std::optional<instance_record>> granters(const std::string& workspace,
                                                          core::instant now) const;
-    // Returns the instance that grants the tokens of the endpoint's rate limit, chosen in the same way.
-    designated_instance find_endpoint_granter(const std::string& endpoint, core::instant now) const;
+    // Returns the instance that grants the tokens of the endpoint's rate limit, chosen by a hash among the
+    // serving instances that the store lists. It is not replaced while it is silent: instances disagree about
+    // which ones are, and each of two granters would grant the whole rate.
+    designated_instance find_endpoint_granter(const std::string& endpoint) const;
     // Returns which instance of the region asks the store on behalf of the others. With few instances in the
     // region there is none.
     designated_instance find_relay(const std::string& region, core::instant now) const;
--- a/packages/edge/instance.cpp
+++ b/packages/edge/instance.cpp
@@ -213,7 +213,7 @@
     };
     token_hooks.grant = [this](const std::string& workspace) { return grant_token(workspace); };
     token_hooks.endpoint_granter = [this](const std::string& endpoint) {
-        return m_membership.find_endpoint_granter(endpoint, current_time());
+        return m_membership.find_endpoint_granter(endpoint);
     };
     token_hooks.grant_endpoint_token = [this](const std::string& endpoint, double rate) {
         return m_rate_limit_granter.take(endpoint, rate, current_time());
--- a/packages/edge/tests/edge_test.cpp
+++ b/packages/edge/tests/edge_test.cpp
@@ -214,7 +214,7 @@
 }
 
 // Guards against instances that ask different granters for the tokens of an endpoint, each of which would
-// grant the whole rate.
+// grant the whole rate: after a network partition some instances take others for silent longer than the rest.
 TEST(fleet_membership, an_endpoint_has_one_granter)
 {
     fleet_membership other{{"b", seconds(3), seconds(2)}};
@@ -222,10 +222,13 @@
         membership.put(make_instance(name, "savo"), start);
         other.put(make_instance(name, "savo"), start);
     }
+    for (const char* collector : {"own", "b", "c"}) {
+        other.record_silence_report(collector, {"own"}, start);
+    }
     for (int index = 0; index < 20; ++index) {
         const std::string endpoint = std::to_string(index);
-        const designated_instance here = membership.find_endpoint_granter(endpoint, start);
-        const designated_instance there = other.find_endpoint_granter(endpoint, start);
+        const designated_instance here = membership.find_endpoint_granter(endpoint);
+        const designated_instance there = other.find_endpoint_granter(endpoint);
         CHECK(here.is_own != here.other.has_value());
         CHECK_EQUAL(here.is_own ? "own" : here.other->instance, there.is_own ? "b" : there.other->instance);
     }
