Store, platform: Tell the revisions of a restored store from older ones

Cause: a store that returns from an older copy assigns its revisions again. A watch after revision N, once the restored store has passed N, answers with the changes after N and leaves out those up to it. Beside that, an instance that asks the relay of its region was confirmed by a relay whose copy of the restored store had a lower revision, for as long as it stayed lower. The class of fault: revisions were compared without the history that they belong to.

A watch of another epoch leads to a listing, and confirmations name the epoch of the copy. Tests, failing without the epoch: store_watcher.a_restored_store_whose_revisions_have_caught_up_is_listed_again, store_watcher.a_peer_that_knows_of_a_restore_does_not_confirm_an_older_copy.

--- a/packages/edge/confirmation_client.cpp
+++ b/packages/edge/confirmation_client.cpp
@@ -60,7 +60,7 @@
         skip_relay(*relay, "no-answer");
         co_return std::nullopt;
     }
-    const store::peer_confirmation result{answer->revision, asked_at - answer->age};
+    const store::peer_confirmation result{answer->epoch, answer->revision, asked_at - answer->age};
     if (core::boot_clock::now() - result.as_of > max_age) {
         skip_relay(*relay, "old");
         co_return std::nullopt;
--- a/packages/edge/demand_exchange.cpp
+++ b/packages/edge/demand_exchange.cpp
@@ -228,7 +228,7 @@
         return;
     }
     const core::duration age = core::boot_clock::now() - known->as_of;
-    send_text(to_text(confirmation_message{message.number, known->revision, age}), sender);
+    send_text(to_text(confirmation_message{message.number, known->epoch, known->revision, age}), sender);
 }
 
 } // namespace quetzalspan::edge
--- a/packages/edge/peer_message.cpp
+++ b/packages/edge/peer_message.cpp
@@ -132,6 +132,7 @@
 {
     confirmation_message result;
     result.number = in.read_unsigned(params, "number", "params");
+    result.epoch = in.read_unsigned(params, "epoch", "params");
     result.revision = in.read_unsigned(params, "revision", "params");
     result.age =
         std::chrono::milliseconds(in.read_unsigned(params, "age_ms", "params", max_confirmation_age_ms));
@@ -152,6 +153,7 @@
 {
     Json::Value params;
     params["number"] = Json::UInt64(message.number);
+    params["epoch"] = Json::UInt64(message.epoch);
     params["revision"] = Json::UInt64(message.revision);
     // Rounded up, since an age that is too low would make keys count as confirmed for too long.
     const std::int64_t age_ms = core::to_milliseconds(message.age) + 1;
--- a/packages/edge/peer_message.h
+++ b/packages/edge/peer_message.h
@@ -66,7 +66,8 @@
 struct confirmation_message {
     // The number of the question.
     std::uint64_t number = 0;
-    // The store's revision that the copy of the sender has reached.
+    // The store's epoch and revision that the copy of the sender has reached.
+    std::uint64_t epoch = 0;
     std::uint64_t revision = 0;
     // How long before this message was sent the copy contained every change.
     core::duration age{0};
--- a/packages/edge/tests/confirmation_client_test.cpp
+++ b/packages/edge/tests/confirmation_client_test.cpp
@@ -51,7 +51,7 @@
 // would keep a revoked key valid for longer.
 TEST(confirmation_client, the_age_is_counted_back_from_the_question)
 {
-    answer = confirmation_message{0, 17, milliseconds(300)};
+    answer = confirmation_message{0, 0, 17, milliseconds(300)};
     const core::boot_instant before = core::boot_clock::now();
     const std::optional<store::peer_confirmation> found = ask();
     CHECK_TRUE(found.has_value());
@@ -65,18 +65,18 @@
 TEST(confirmation_client, an_age_beyond_the_range_of_the_message_is_bounded)
 {
     const peer_message read =
-        parse_peer_message(to_text(confirmation_message{3, 17, std::chrono::hours(50)}), "test");
+        parse_peer_message(to_text(confirmation_message{3, 0, 17, std::chrono::hours(50)}), "test");
     CHECK(std::get<confirmation_message>(read).age >= std::chrono::seconds(60));
     CHECK_EQUAL(17U, std::get<confirmation_message>(read).revision);
     const peer_message short_age =
-        parse_peer_message(to_text(confirmation_message{3, 17, std::chrono::microseconds(500)}), "test");
+        parse_peer_message(to_text(confirmation_message{3, 0, 17, std::chrono::microseconds(500)}), "test");
     CHECK(std::get<confirmation_message>(short_age).age == milliseconds(1));
 }
 
 // Guards against an instance that follows a relay which has lost the store.
 TEST(confirmation_client, old_knowledge_is_not_used_and_the_relay_is_skipped)
 {
-    answer = confirmation_message{0, 17, milliseconds(5000)};
+    answer = confirmation_message{0, 0, 17, milliseconds(5000)};
     CHECK_FALSE(ask().has_value());
     CHECK_FALSE(ask().has_value());
     CHECK_EQUAL(1, question_count);
--- a/packages/edge/tests/scripted_store.h
+++ b/packages/edge/tests/scripted_store.h
@@ -27,6 +27,24 @@
         m_changes.push_back({key, ++m_revision, std::nullopt});
     }
 
+    // Keeps a copy of the entries, to which restore() returns: later changes are lost, and their revisions
+    // are assigned again.
+    void take_copy()
+    {
+        m_copy = m_entries;
+        m_copied_revision = m_revision;
+    }
+
+    void restore()
+    {
+        m_entries = m_copy;
+        m_revision = m_copied_revision;
+        std::erase_if(m_changes, [this](const store::store_change& change) {
+            return change.revision > m_copied_revision;
+        });
+        ++m_epoch;
+    }
+
     // Makes the given number of following list and watch calls fail.
     void fail_calls(int count) { m_remaining_failures = count; }
 
@@ -37,10 +55,13 @@
     // Returns the prefixes of all watch calls, in order.
     const std::vector<std::string>& watch_prefixes() const { return m_watch_prefixes; }
 
+    std::uint64_t epoch() const override { return m_epoch; }
+
     boost::asio::awaitable<store::list_result> list(std::string prefix) override
     {
         check_failure();
         store::list_result result;
+        result.epoch = m_epoch;
         result.revision = m_revision;
         for (const auto& [key, entry] : m_entries) {
             if (key.starts_with(prefix)) {
@@ -61,6 +82,8 @@
             throw store::store_unavailable("watch call made to fail by the test");
         }
         store::watch_result result;
+        result.epoch = m_epoch;
+        result.is_history_discarded = after_revision > m_revision;
         result.revision = m_revision;
         std::copy_if(m_changes.begin(), m_changes.end(), std::back_inserter(result.changes),
                      [&](const store::store_change& change) {
@@ -93,7 +116,10 @@
         }
     }
 
+    std::uint64_t m_epoch = 0;
     std::uint64_t m_revision = 0;
+    std::map<std::string, store::store_entry> m_copy;
+    std::uint64_t m_copied_revision = 0;
     int m_remaining_failures = 0;
     bool m_has_failing_watches = false;
     std::map<std::string, store::store_entry> m_entries;
--- a/packages/edge/tests/store_watcher_test.cpp
+++ b/packages/edge/tests/store_watcher_test.cpp
@@ -199,7 +199,7 @@
     watcher.start();
     CHECK_TRUE(run_until([this] { return state.table() != nullptr; }));
     const core::boot_instant as_of = core::boot_clock::now() + seconds(100);
-    peer_answer = store::peer_confirmation{watcher.confirmation()->revision, as_of};
+    peer_answer = store::peer_confirmation{0, watcher.confirmation()->revision, as_of};
     const int asked_before = ask_count;
     CHECK_TRUE(run_until([&] { return ask_count >= asked_before + 2; }));
     const std::size_t calls = test_store->watch_timeouts().size();
@@ -219,7 +219,7 @@
     test_store->put("operators/configuration", "4");
     test_store->fail_calls(3);
     const core::boot_instant as_of = core::boot_clock::now() + seconds(100);
-    peer_answer = store::peer_confirmation{watcher.confirmation()->revision + 1, as_of};
+    peer_answer = store::peer_confirmation{0, watcher.confirmation()->revision + 1, as_of};
     CHECK_TRUE(run_until([this] { return state.table()->version() == 4; }));
     CHECK(test_store->watch_timeouts().back() < milliseconds(50));
 }
@@ -246,3 +246,43 @@
     CHECK(test_store->watch_timeouts().back() < options.store_watch_timeout);
     CHECK_EQUAL(0, ask_count);
 }
+
+// Guards against a change that is missed because the revisions of a restored store have reached those of the
+// copy again before the next watch: the routes that were added meanwhile were unknown.
+TEST(store_watcher, a_restored_store_whose_revisions_have_caught_up_is_listed_again)
+{
+    test_store->put("operators/configuration", "3");
+    watcher.start();
+    CHECK_TRUE(run_until([this] { return watcher.has_listed() && state.table() != nullptr; }));
+    test_store->take_copy();
+    test_store->put("endpoints/e1", "");
+    test_store->put("endpoints/e2", "");
+    CHECK_TRUE(run_until([this] { return balancer.size() == 2; }));
+    test_store->restore();
+    test_store->put("operators/configuration", "5");
+    test_store->put("endpoints/e2", "");
+    test_store->put("endpoints/e1", "");
+    CHECK_TRUE(run_until([this] { return state.table()->version() == 5; }));
+    CHECK_EQUAL(2U, balancer.size());
+}
+
+// Guards against a copy from before a restore that a relay confirms because its revision is above those of
+// the restored store.
+TEST(store_watcher, a_peer_that_knows_of_a_restore_does_not_confirm_an_older_copy)
+{
+    test_store->put("operators/configuration", "3");
+    test_store->take_copy();
+    test_store->put("endpoints/e1", "");
+    test_store->put("endpoints/e2", "");
+    watcher.start();
+    CHECK_TRUE(run_until([this] { return watcher.has_listed() && state.table() != nullptr; }));
+    test_store->restore();
+    test_store->put("operators/configuration", "4");
+    mode = store::watch_mode::asking;
+    peer_answer = store::peer_confirmation{1, watcher.confirmation()->revision - 1, core::boot_clock::now()};
+    CHECK_TRUE(run_until([this] { return state.table()->version() == 4; }));
+    // A peer that does not know of the restore yet confirms nothing either.
+    peer_answer = store::peer_confirmation{0, 100, core::boot_clock::now()};
+    const std::size_t watches = test_store->watch_timeouts().size();
+    CHECK_TRUE(run_until([&] { return test_store->watch_timeouts().size() > watches; }));
+}
--- a/packages/store/key_value_store.h
+++ b/packages/store/key_value_store.h
@@ -39,6 +39,9 @@
     virtual boost::asio::awaitable<watch_result> watch(std::string prefix, std::uint64_t after_revision,
                                                        core::duration timeout) = 0;
 
+    // Returns the highest epoch that a response has named; 0 if none has. See list_result.
+    virtual std::uint64_t epoch() const { return 0; }
+
     // Returns the id of the new lease. It expires unless it is renewed within its time to live.
     virtual boost::asio::awaitable<std::uint64_t> create_lease(core::duration time_to_live) = 0;
     // Renews the lease for its full time to live.
--- a/packages/store/prefix_mirror.cpp
+++ b/packages/store/prefix_mirror.cpp
@@ -126,7 +126,11 @@
     if (!answer || m_watch_timer.is_stopped()) {
         co_return false;
     }
-    m_is_behind_peer = answer->revision > m_revision;
+    if (answer->epoch < m_epoch) {
+        // The peer has not noticed yet that the store was restored.
+        co_return false;
+    }
+    m_is_behind_peer = answer->epoch > m_epoch || answer->revision > m_revision;
     if (m_is_behind_peer) {
         co_return false;
     }
@@ -139,7 +143,8 @@
 
 std::optional<peer_confirmation> prefix_mirror::confirmation() const
 {
-    return m_has_listed ? std::optional<peer_confirmation>({m_revision, m_confirmed_as_of}) : std::nullopt;
+    return m_has_listed ? std::optional<peer_confirmation>({m_epoch, m_revision, m_confirmed_as_of})
+                        : std::nullopt;
 }
 
 asio::awaitable<void> prefix_mirror::list_once()
@@ -154,8 +159,23 @@
     if (m_hooks.on_call_succeeded) {
         m_hooks.on_call_succeeded();
     }
+    if (found.epoch < m_epoch) {
+        // A response from before the store was restored.
+        co_return;
+    }
+    const bool is_restored = m_has_listed && found.epoch > m_epoch;
     const bool is_regression = m_has_listed && found.revision < known;
-    if (is_regression) {
+    if (is_restored) {
+        core::warning_event("store_restored")
+            .with("prefix", m_options.prefix)
+            .with("epoch", found.epoch)
+            .with("known_epoch", m_epoch)
+            .with("revision", found.revision)
+            .with("known_revision", m_revision);
+        if (m_hooks.on_restored) {
+            m_hooks.on_restored();
+        }
+    } else if (is_regression) {
         ++m_statistics.regressions;
         core::warning_event("store_revision_went_back")
             .with("prefix", m_options.prefix)
@@ -173,10 +193,12 @@
         entries.emplace(item.key, item);
     }
     // After a restore the store can reach the known revision again with different entries.
-    const bool is_updated = !m_has_listed || found.revision != m_revision || entries != m_entries;
-    if (!m_has_listed || is_regression) {
+    const bool is_updated =
+        !m_has_listed || is_restored || found.revision != m_revision || entries != m_entries;
+    if (!m_has_listed || is_restored || is_regression) {
         m_watched_revision = found.revision;
     }
+    m_epoch = found.epoch;
     replace_entries(std::move(entries));
     m_revision = found.revision;
     m_has_listed = true;
@@ -265,7 +287,12 @@
         m_watched_revision = m_revision;
         co_return;
     }
-    if (m_watched_revision != after) {
+    if (found.epoch > m_epoch) {
+        // Changes of the restored store up to the revision of the copy would be missing.
+        co_await list_once();
+        co_return;
+    }
+    if (found.epoch < m_epoch || m_watched_revision != after) {
         // While this watch was waiting, a listing found that the store had been restored. The changes may
         // belong to the state before the restore.
         co_return;
--- a/packages/store/prefix_mirror.h
+++ b/packages/store/prefix_mirror.h
@@ -35,8 +35,9 @@
 };
 
 // What another holder of a copy says about the store: at the time as_of, its revision was the given one or a
-// lower one.
+// lower one, in the given epoch.
 struct peer_confirmation {
+    std::uint64_t epoch = 0;
     std::uint64_t revision = 0;
     core::boot_instant as_of;
 };
@@ -47,7 +48,9 @@
     own,
     // By its own watches, at the shorter intervals of a copy that others ask for confirmations.
     serving,
-    // By asking a peer, with a call to the store only if the peer knows a newer revision or does not answer.
+    // By asking a peer, with a call to the store only if the peer knows a newer revision or epoch, or does
+    // not
+    // answer.
     asking,
 };
 
@@ -83,6 +86,9 @@
         // Called with the revision of the listing and the highest one known before the copy is replaced by an
         // older state of the store.
         std::function<void(std::uint64_t, std::uint64_t)> on_regression;
+        // Called before the copy is replaced by the entries of a store that has been restored, after which
+        // on_entry and on_update are called as for any listing.
+        std::function<void()> on_restored;
     };
 
     static std::shared_ptr<prefix_mirror> create(boost::asio::any_io_executor executor,
@@ -137,9 +143,11 @@
     bool m_is_failing = false;
     unsigned m_consecutive_failures = 0;
     std::uint64_t m_revision = 0;
+    // The epoch of the store to which the copy and its revisions belong.
+    std::uint64_t m_epoch = 0;
     // The copy contains every change that the store acknowledged before this time.
     core::boot_instant m_confirmed_as_of;
-    // Whether the last answer of a peer named a newer revision.
+    // Whether the last answer of a peer named a newer revision or epoch.
     bool m_is_behind_peer = false;
     // The revision after which the next watch continues. Lower than m_revision if a listing was newer than
     // the last watch.
--- a/packages/store/store_types.h
+++ b/packages/store/store_types.h
@@ -32,6 +32,9 @@
 };
 
 struct list_result {
+    // How often the store has been restored from an older copy of itself, as far as it tells. Revisions and
+    // leases of different epochs cannot be compared: a restored store assigns them again.
+    std::uint64_t epoch = 0;
     // The store's revision at the time of the listing. A watch that starts after it misses no change.
     std::uint64_t revision = 0;
     std::vector<store_entry> entries;
@@ -47,6 +50,8 @@
 };
 
 struct watch_result {
+    // See list_result.
+    std::uint64_t epoch = 0;
     // The store has discarded changes after the requested revision, so the caller must list the entries
     // again.
     bool is_history_discarded = false;
