Edge: Replace a lease from before a restore of the store

A lease now belongs to the epoch in which it was created; the record is written anew as soon as the copy of the store shows the restore. Tokens are kept, since the others keep the instance as a member meanwhile.

--- a/packages/edge/registration.cpp
+++ b/packages/edge/registration.cpp
@@ -44,6 +44,20 @@
     m_timer.cancel();
 }
 
+void registration::drop_lease()
+{
+    m_lease = 0;
+    m_is_record_current = false;
+    m_revision = 0;
+}
+
+void registration::handle_restored_store()
+{
+    if (is_lease_outdated()) {
+        m_timer.cancel();
+    }
+}
+
 void registration::set_known_revision(std::uint64_t revision)
 {
     if (revision > m_revision) {
@@ -71,24 +85,31 @@
 
 asio::awaitable<void> registration::renew_or_register()
 {
-    if (m_lease != 0 && m_is_record_current) {
+    if (m_lease != 0 && m_is_record_current && !is_lease_outdated()) {
         const core::boot_instant sent = core::boot_clock::now();
         const store::lease_outcome outcome = co_await m_store->keep_alive(m_lease);
-        if (outcome != store::lease_outcome::lost) {
+        if (outcome != store::lease_outcome::lost && !is_lease_outdated()) {
             report_lease_renewed(sent);
             co_return;
         }
-        core::warning_event("lease_lost").with("lease", m_lease);
-        if (m_on_lease_lost) {
-            m_on_lease_lost();
+        if (!is_lease_outdated()) {
+            core::warning_event("lease_lost").with("lease", m_lease);
+            if (m_on_lease_lost) {
+                m_on_lease_lost();
+            }
+            drop_lease();
         }
-        m_lease = 0;
-        m_is_record_current = false;
-        m_revision = 0;
+    }
+    if (is_lease_outdated()) {
+        // The other instances keep this one as a member for a while after the restore.
+        core::warning_event("lease_outdated").with("lease", m_lease).with("epoch", m_store->epoch());
+        drop_lease();
     }
     if (m_lease == 0) {
         const core::boot_instant sent = core::boot_clock::now();
-        m_lease = co_await m_store->create_lease(m_options.lease_time);
+        const std::uint64_t created = co_await m_store->create_lease(m_options.lease_time);
+        m_lease = created;
+        m_lease_epoch = m_store->epoch();
         report_lease_renewed(sent);
     }
     co_await write_record();
@@ -109,7 +130,7 @@
     switch (result.outcome) {
     case store::write_outcome::applied:
         m_revision = result.revision;
-        m_is_record_current = written == m_own_record;
+        m_is_record_current = written == m_own_record && !is_lease_outdated();
         core::info_event("registered")
             .with("phase", instance_phase_names.name(written.phase))
             .with("revision", m_revision)
@@ -132,7 +153,7 @@
 {
     m_is_stopped = true;
     m_timer.cancel();
-    if (m_lease == 0) {
+    if (m_lease == 0 || is_lease_outdated()) {
         co_return;
     }
     try {
--- a/packages/edge/registration.h
+++ b/packages/edge/registration.h
@@ -52,6 +52,10 @@
     // Sets the phase and has the record written at once rather than at the next renewal.
     void set_phase(instance_phase phase);
 
+    // Has the record written anew under a new lease, because the store was restored from an older copy, which
+    // may have lost both.
+    void handle_restored_store();
+
     // Stops the renewals and revokes the lease, which removes the record. A failed call is logged and not
     // repeated; the lease then expires by itself.
     boost::asio::awaitable<void> withdraw();
@@ -77,8 +81,15 @@
     boost::asio::steady_timer m_timer;
     instance_record m_own_record;
     registration_options m_options;
+    // Returns whether the store has been restored since the lease was created. Its id may since have been
+    // assigned to another instance.
+    bool is_lease_outdated() const { return m_lease != 0 && m_store->epoch() != m_lease_epoch; }
+    void drop_lease();
+
     // The identity of the lease; 0 while there is none.
     std::uint64_t m_lease = 0;
+    // The epoch of the store in which the lease was created.
+    std::uint64_t m_lease_epoch = 0;
     // The last known revision of the record in the store; 0 if there is none.
     std::uint64_t m_revision = 0;
     // Whether the store holds m_own_record in its present state under the lease.
