Edge: Do not use what an older copy of the store brings back

After a restore, entries of unknown endpoints and instances are left aside until they are written again, or for 5 s; known ones that are missing have the grace period of an outage; evacuations stay in force for 5 s. Tests, failing before: store_watcher.entries_that_a_restore_brings_back_are_not_used, store_watcher.an_evacuation_that_a_restore_has_lost_stays_in_force.

--- a/packages/edge/endpoint_balancer.cpp
+++ b/packages/edge/endpoint_balancer.cpp
@@ -405,6 +405,12 @@
     }
 }
 
+bool endpoint_balancer::knows(const std::string& id) const
+{
+    const std::lock_guard<std::mutex> guard(m_mutex);
+    return m_catalog.find(id) != nullptr;
+}
+
 std::size_t endpoint_balancer::size() const
 {
     const std::lock_guard<std::mutex> guard(m_mutex);
--- a/packages/edge/endpoint_balancer.h
+++ b/packages/edge/endpoint_balancer.h
@@ -105,6 +105,8 @@
     // Called periodically.
     void update_periodically(core::instant now);
 
+    // Returns whether an endpoint with this id is known.
+    bool knows(const std::string& id) const;
     // Returns the number of known endpoints.
     std::size_t size() const;
 
--- a/packages/edge/store_watcher.cpp
+++ b/packages/edge/store_watcher.cpp
@@ -5,6 +5,8 @@
 
 #include "core/log_event.h"
 
+#include <utility>
+
 namespace quetzalspan::edge
 {
 
@@ -14,6 +16,10 @@
 // A gap between answers that exceeds their usual interval by more than this counts as an outage of the store.
 constexpr core::duration outage_margin = std::chrono::milliseconds(900);
 
+// Time after a restore of the store within which operators, endpoints and instances have written again what
+// the store has lost, and leases of instances that have ended since its copy was made have expired.
+constexpr core::duration restore_settle_time = std::chrono::seconds(5);
+
 core::instant current_time()
 {
     return std::chrono::steady_clock::now();
@@ -68,6 +74,7 @@
     hooks.on_call_succeeded = [this] { on_call_succeeded(); };
     hooks.on_update = [this] { on_update(); };
     hooks.on_confirmed = [this](core::boot_instant sent) { on_confirmed(sent); };
+    hooks.on_restored = [this] { on_restored(); };
     hooks.mode = m_targets.watch_mode;
     hooks.ask_peer = m_targets.ask_peer;
     return store::prefix_mirror::create(executor, m_store, options, hooks);
@@ -75,6 +82,9 @@
 
 void store_watcher::on_entry(const std::string& key, const store::store_entry* entry)
 {
+    if (is_deferred(key, entry)) {
+        return;
+    }
     // An entry that cannot be applied must not keep the others from being applied or confirmed.
     try {
         apply_entry(key, entry);
@@ -107,8 +117,46 @@
     }
 }
 
+void store_watcher::on_restored()
+{
+    const core::instant now = current_time();
+    m_is_applying_restored = true;
+    m_settled_at = now + restore_settle_time;
+    m_targets.balancer.begin_removal_grace_period(now);
+    m_targets.membership.begin_removal_grace_period(now);
+    m_targets.own_registration.handle_restored_store();
+    core::info_event("absence_grace_begun").with("cause", "store-was-restored");
+}
+
+bool store_watcher::is_deferred(const std::string& key, const store::store_entry* entry)
+{
+    const bool is_endpoint = key.starts_with(m_deployment.endpoint_prefix);
+    const bool is_instance = key.starts_with(instance_prefix);
+    const bool is_unknown =
+        (is_endpoint && !m_targets.balancer.knows(m_deployment.endpoint_id(key))) ||
+        (is_instance && !m_targets.membership.is_member(key.substr(instance_prefix.size())));
+    if (!m_is_applying_restored || entry == nullptr || !is_unknown) {
+        m_deferred_keys.erase(key);
+        return false;
+    }
+    m_deferred_keys.insert(key);
+    core::info_event("entry_deferred").with("key", key).with("revision", entry->revision);
+    return true;
+}
+
+void store_watcher::apply_deferred()
+{
+    for (const std::string& key : std::exchange(m_deferred_keys, {})) {
+        const std::map<std::string, store::store_entry>::const_iterator entry = m_mirror->entries().find(key);
+        if (entry != m_mirror->entries().end()) {
+            on_entry(key, &entry->second);
+        }
+    }
+}
+
 void store_watcher::on_update()
 {
+    m_is_applying_restored = false;
     update_evacuations();
     update_fleet_size();
 }
@@ -116,6 +164,11 @@
 void store_watcher::on_confirmed(core::boot_instant sent)
 {
     m_targets.state.confirm(sent);
+    if (m_settled_at != core::instant() && current_time() >= m_settled_at) {
+        m_settled_at = core::instant();
+        apply_deferred();
+        on_update();
+    }
     if (m_targets.membership.remove_missing(current_time())) {
         update_fleet_size();
     }
@@ -175,6 +228,10 @@
             zones.insert(*zone);
         }
     }
+    if (m_settled_at != core::instant()) {
+        zones.insert(m_evacuated_zones.begin(), m_evacuated_zones.end());
+    }
+    m_evacuated_zones = zones;
     m_targets.balancer.set_evacuated_zones(zones, current_time());
 }
 
--- a/packages/edge/store_watcher.h
+++ b/packages/edge/store_watcher.h
@@ -17,6 +17,8 @@
 
 #include <functional>
 #include <memory>
+#include <set>
+#include <string>
 
 namespace quetzalspan::edge
 {
@@ -75,6 +77,12 @@
     void on_call_succeeded();
     void on_update();
     void on_confirmed(core::boot_instant sent);
+    void on_restored();
+    // Returns whether an entry is left aside because it may be one that was deleted in the changes that the
+    // restored store has lost.
+    bool is_deferred(const std::string& key, const store::store_entry* entry);
+    // Applies the entries that were left aside and are still there.
+    void apply_deferred();
     void on_operator_entry(const std::string& key, const store::store_entry* entry);
     void update_evacuations();
     void on_endpoint_entry(const std::string& key, const store::store_entry* entry);
@@ -87,6 +95,13 @@
     const instance_options& m_options;
     store_watch_targets m_targets;
     outage_detector m_outage;
+    // Whether the entries of the first listing after a restore of the store are being applied.
+    bool m_is_applying_restored = false;
+    // Until this time, evacuations that the restored store does not list stay in force, and deferred entries
+    // are not applied.
+    core::instant m_settled_at;
+    std::set<std::string> m_deferred_keys;
+    std::set<std::string> m_evacuated_zones;
     std::shared_ptr<store::prefix_mirror> m_mirror;
 };
 
--- a/packages/edge/tests/store_watcher_test.cpp
+++ b/packages/edge/tests/store_watcher_test.cpp
@@ -37,6 +37,9 @@
         placement::endpoint_record read;
         read.id = entry.key.substr(std::string("endpoints/").size());
         read.service = "mill";
+        read.host = "127.0.0.1";
+        read.port = 9;
+        read.availability_zone = "savo-a";
         return std::optional<placement::endpoint_record>(read);
     };
     result.endpoint_id = [](const std::string& key) { return key.substr(std::string("endpoints/").size()); };
@@ -286,3 +289,60 @@
     const std::size_t watches = test_store->watch_timeouts().size();
     CHECK_TRUE(run_until([&] { return test_store->watch_timeouts().size() > watches; }));
 }
+
+// Guards against endpoints and instances that had left before a restore and are used again because the older
+// copy still lists them, and against the loss of those that the copy does not list yet.
+TEST(store_watcher, entries_that_a_restore_brings_back_are_not_used)
+{
+    test_store->put("operators/configuration", "3");
+    test_store->put("endpoints/gone", "");
+    test_store->put("endpoints/kept", "");
+    test_store->put(std::string(instance_prefix) + "gone", make_peer("gone"));
+    test_store->take_copy();
+    watcher.start();
+    CHECK_TRUE(run_until([this] { return balancer.size() == 2 && membership.is_member("gone"); }));
+    test_store->remove("endpoints/gone");
+    test_store->remove(std::string(instance_prefix) + "gone");
+    test_store->put("endpoints/joined", "");
+    CHECK_TRUE(run_until([this] { return balancer.knows("joined") && !membership.is_member("gone"); }));
+    CHECK_FALSE(balancer.knows("gone"));
+    test_store->restore();
+    const std::size_t watches = test_store->watch_timeouts().size();
+    CHECK_TRUE(run_until([&] { return test_store->watch_timeouts().size() > watches + 3; }));
+    CHECK_FALSE(balancer.knows("gone"));
+    CHECK_FALSE(membership.is_member("gone"));
+    CHECK_TRUE(balancer.knows("kept"));
+    CHECK_TRUE(balancer.knows("joined"));
+    // It is used when it is written again.
+    test_store->put("endpoints/gone", "");
+    CHECK_TRUE(run_until([this] { return balancer.knows("gone"); }));
+}
+
+// Guards against an evacuated zone that receives requests again because the older copy of a restored store
+// does not list its evacuation yet.
+TEST(store_watcher, an_evacuation_that_a_restore_has_lost_stays_in_force)
+{
+    test_store->put("operators/configuration", "3");
+    test_store->put("endpoints/e1", "");
+    test_store->take_copy();
+    watcher.start();
+    CHECK_TRUE(run_until([this] { return watcher.has_listed() && balancer.size() == 1; }));
+    test_store->put("operators/evacuate/savo-a", "");
+    const std::function<bool()> takes_requests = [this] {
+        const std::string service = "mill";
+        const std::vector<std::string> tried;
+        const routing::route route;
+        attempt_request wanted;
+        wanted.request_id = "id";
+        wanted.service = &service;
+        wanted.route = &route;
+        wanted.tried = &tried;
+        return !std::holds_alternative<caller::rejection>(
+            balancer.acquire(wanted, std::chrono::steady_clock::now()));
+    };
+    CHECK_TRUE(run_until([&] { return !takes_requests(); }));
+    test_store->restore();
+    const std::size_t watches = test_store->watch_timeouts().size();
+    CHECK_TRUE(run_until([&] { return test_store->watch_timeouts().size() > watches + 3; }));
+    CHECK_FALSE(takes_requests());
+}
