Dispatch: Trust only refusals that name the request

An endpoint that wrote an earlier refusal once more on a kept connection, without the request's identifier, made the instance tell the caller that the request had not run, or send it to a second endpoint: in the test a request that may run once ran twice (TWICE).

Cause: a refusal with another identifier was dropped, one without any was taken for the answer. Where endpoints echo the identifier, a refusal without it now promises nothing: the caller gets 502. Test, failing before: checked_response.a_refusal_without_the_request_identifier_promises_nothing. The step 'misdirected' of the scripted upstream now echoes the identifier, as endpoints of such a profile do. A response that ends within its header was relayed as a failure before, too; a test now guards that.

--- a/packages/caller/tests/checked_response_test.cpp
+++ b/packages/caller/tests/checked_response_test.cpp
@@ -186,3 +186,24 @@
     proxy.start();
     CHECK_EQUAL(503, parse_status(exchange("POST")));
 }
+
+// Guards against an earlier refusal that the endpoint writes once more on a kept connection: the caller was
+// told that the request had not run, or it ran at a second endpoint.
+TEST(checked_response, a_refusal_without_the_request_identifier_promises_nothing)
+{
+    is_repeatable = false;
+    proxy.first->set_script({upstream_step::answer_after_refusal});
+    start();
+    CHECK_EQUAL(502, parse_status(exchange("POST")));
+    CHECK_EQUAL(1U, executions());
+}
+
+// Guards against a response that ends within its header and is relayed as a complete one without a body.
+TEST(checked_response, a_response_that_ends_within_its_header_is_not_relayed)
+{
+    is_repeatable = false;
+    proxy.first->set_script({upstream_step::close_within_header});
+    start();
+    CHECK_EQUAL(502, parse_status(exchange("POST")));
+    CHECK_EQUAL(1U, executions());
+}
--- a/packages/caller/tests/scripted_upstream.cpp
+++ b/packages/caller/tests/scripted_upstream.cpp
@@ -61,7 +61,14 @@
                "HTTP/1.1 200 OK\r\nX-Signature: s\r\nQuetzal-Request-Id: own\r\n" +
                length;
     case upstream_step::misdirected:
-        return "HTTP/1.1 421 Misdirected Request\r\nContent-Length: 5\r\n\r\nother";
+        return "HTTP/1.1 421 Misdirected Request\r\nQuetzal-Request-Id: own\r\nContent-Length: "
+               "5\r\n\r\nother";
+    case upstream_step::answer_after_refusal:
+        return "HTTP/1.1 503 Busy\r\nQuetzal-Outcome: not-run\r\nContent-Length: 4\r\n\r\nbusy"
+               "HTTP/1.1 200 OK\r\nX-Signature: s\r\nQuetzal-Request-Id: own\r\n" +
+               length;
+    case upstream_step::close_within_header:
+        return "HTTP/1.1 200 OK\r\nX-Signature: s\r\nQuetzal-Request-Id: own\r\nContent-Length: 0\r\n";
     case upstream_step::shed:
         return "HTTP/1.1 503 Busy\r\nQuetzal-Outcome: not-run\r\nContent-Length: 4\r\n\r\nbusy";
     case upstream_step::answer_early:
@@ -332,8 +339,9 @@
             reset(socket);
             co_return;
         }
-        if (step == upstream_step::answer_unframed || step == upstream_step::answer_and_close ||
-            step == upstream_step::malformed_response || step == upstream_step::ambiguous_response) {
+        if (step == upstream_step::answer_unframed || step == upstream_step::close_within_header ||
+            step == upstream_step::answer_and_close || step == upstream_step::malformed_response ||
+            step == upstream_step::ambiguous_response) {
             socket.close(error);
             co_return;
         }
--- a/packages/caller/tests/scripted_upstream.h
+++ b/packages/caller/tests/scripted_upstream.h
@@ -40,6 +40,10 @@
     reset_within_unframed_body,
     // Runs the request and sends a response to another request before the response to this one.
     answer_after_foreign,
+    // Runs the request and sends a refusal without a request identifier before the response.
+    answer_after_refusal,
+    // Runs the request and closes the connection within the header of the response.
+    close_within_header,
     // Sends 421, as an endpoint that has taken over the address of another one, and does not run the request.
     misdirected,
     // Sends 503 with the outcome not-run, and does not run the request.
--- a/packages/dispatch/response_check.cpp
+++ b/packages/dispatch/response_check.cpp
@@ -45,10 +45,16 @@
             return response_kind::other_request;
         }
     }
-    if (!profile.expected_endpoint_field.empty() && status == misdirected_status) {
+    const bool is_misdirected = !profile.expected_endpoint_field.empty() && status == misdirected_status;
+    const bool is_shed = is_shed_response(status, fields, profile);
+    if ((is_misdirected || is_shed) && profile.is_request_id_echoed && !has_matching_id) {
+        // It may be an earlier refusal that the endpoint has written once more, and this request may run.
+        return response_kind::unverified;
+    }
+    if (is_misdirected) {
         return response_kind::misdirected;
     }
-    if (is_shed_response(status, fields, profile)) {
+    if (is_shed) {
         return response_kind::shed;
     }
     if (is_success(status) && !is_verified(fields, has_matching_id, profile)) {
--- a/packages/dispatch/response_check.h
+++ b/packages/dispatch/response_check.h
@@ -22,7 +22,9 @@
     misdirected,
     // A late response to another request: it carries another request identifier.
     other_request,
-    // A 2xx response without the signature or the echoed request identifier that the profile requires.
+    // A 2xx response without the signature, or a 2xx response or refusal without the echoed request
+    // identifier, that
+    // the profile requires.
     unverified,
 };
 
--- a/packages/edge/request_rules.cpp
+++ b/packages/edge/request_rules.cpp
@@ -137,6 +137,12 @@
                    ? rejection{failure::no_authority, m_options.unconfirmed_retry_after}
                    : rejection{failure::no_route};
     }
+    const core::instant deadline = route->time_limit > core::duration(0)
+                                       ? std::min(request.deadline, request.received_at + route->time_limit)
+                                       : request.deadline;
+    if (!m_state.can_finish_by(deadline)) {
+        return rejection{failure::stopping, std::chrono::milliseconds(1)};
+    }
     const routing::workspace* workspace = nullptr;
     if (!route->is_public) {
         const std::optional<rejection> denial = check_key(request, *table, age, workspace);
