Edge: Refuse requests that may outlast a planned stop

Requests that came up to 3.2 s (5.3 s where the grace time is 10 s) after the stop signal were taken whatever their time limit, and cut at the end of the grace time without an answer (LOST).

From 2.9 s after the signal a request is taken only if its deadline, or its route's time limit, ends before the shutdown does; others are refused at once and may go to another instance. Test, failing before: request_rules.a_stopping_instance_refuses_requests_that_may_outlast_it.

--- a/packages/edge/instance.cpp
+++ b/packages/edge/instance.cpp
@@ -387,13 +387,15 @@
     const core::instant stop_start = current_time();
     m_registration->set_phase(instance_phase::leaving);
     m_caller_server->send_connection_close();
-    co_await sleep_for(m_options.shutdown_reject_delay);
+    const core::instant end = stop_start + m_options.shutdown_timeout - shutdown_reserve;
+    co_await sleep_for(std::min(m_options.shutdown_long_request_delay, m_options.shutdown_reject_delay));
+    m_state.set_last_deadline(end);
+    co_await sleep_for(stop_start + m_options.shutdown_reject_delay - current_time());
     m_state.is_rejecting_requests = true;
     core::info_event("refusing_new_requests").with("active", m_caller_server->active_requests());
     co_await sleep_for(stop_start + m_options.shutdown_drain_delay - current_time());
     std::atomic<bool> is_idle{false};
     m_caller_server->drain([&is_idle] { is_idle = true; });
-    const core::instant end = stop_start + m_options.shutdown_timeout - shutdown_reserve;
     while (!is_idle && current_time() < end) {
         co_await sleep_for(stop_poll_interval);
     }
--- a/packages/edge/instance_options.h
+++ b/packages/edge/instance_options.h
@@ -67,6 +67,10 @@
 
     // Time from the stop signal until the process must have ended.
     core::duration shutdown_timeout = std::chrono::seconds(6);
+    // Time from the stop signal until requests are rejected whose deadline is after the end of the shutdown.
+    // Before, too few callers have looked up other instances, and most requests end long before their
+    // deadline.
+    core::duration shutdown_long_request_delay = std::chrono::milliseconds(2900);
     // Time from the stop signal until new requests are rejected. By then callers have looked up other
     // instances.
     core::duration shutdown_reject_delay = std::chrono::milliseconds(3200);
--- a/packages/edge/tests/edge_test.cpp
+++ b/packages/edge/tests/edge_test.cpp
@@ -495,6 +495,24 @@
     CHECK(begin(request("/open/a")) == dispatch::failure::stopping);
 }
 
+// Guards against a request that is taken late in a planned stop and cut at its end without an answer.
+TEST(request_rules, a_stopping_instance_refuses_requests_that_may_outlast_it)
+{
+    configure(make_configuration(1), seconds(0));
+    caller::request_summary wanted = request("/keyed/a");
+    wanted.received_at = start;
+    wanted.deadline = start + seconds(5);
+    CHECK_FALSE(begin(wanted).has_value());
+    // The route allows 800 ms, whatever the caller does.
+    state.set_last_deadline(start + milliseconds(799));
+    CHECK(begin(wanted) == dispatch::failure::stopping);
+    state.set_last_deadline(start + milliseconds(800));
+    CHECK_FALSE(begin(wanted).has_value());
+    wanted.deadline = start + milliseconds(100);
+    state.set_last_deadline(start + milliseconds(200));
+    CHECK_FALSE(begin(wanted).has_value());
+}
+
 // Guards against rejecting a request although the fleet has a token left, and against serving a request
 // without a token.
 TEST(request_rules, a_request_without_a_token_asks_the_fleet)
--- a/packages/edge/traffic_state.h
+++ b/packages/edge/traffic_state.h
@@ -76,6 +76,19 @@
         return now.time_since_epoch().count() < m_member_until.load(std::memory_order_acquire);
     }
 
+    // Sets the time after which this instance serves no more requests, so that none is taken that may take
+    // longer.
+    void set_last_deadline(core::instant deadline)
+    {
+        m_last_deadline.store(deadline.time_since_epoch().count(), std::memory_order_release);
+    }
+
+    // Returns whether a request with this deadline can be served before the instance ends.
+    bool can_finish_by(core::instant deadline) const
+    {
+        return deadline.time_since_epoch().count() <= m_last_deadline.load(std::memory_order_acquire);
+    }
+
     // Whether new requests are rejected because the instance is stopping. Set some time after is_stopping.
     std::atomic<bool> is_rejecting_requests{false};
     // Whether the instance has been told to stop.
@@ -85,6 +98,8 @@
     core::rcu_cell<route_table_pointer> m_table;
     // Time of the last confirmation in nanoseconds of the boot clock; 0 if there was none. Never decreases.
     std::atomic<std::int64_t> m_confirmed{0};
+    // In nanoseconds of the steady clock.
+    std::atomic<std::int64_t> m_last_deadline{std::numeric_limits<std::int64_t>::max()};
     // The end of the lease in nanoseconds of the boot clock.
     std::atomic<std::int64_t> m_member_until{std::numeric_limits<std::int64_t>::max()};
 };
