--- a/review/standins/world.cpp
+++ b/review/standins/world.cpp
@@ -9,6 +9,7 @@
 #include <cstring>
 #include <fstream>
 #include <functional>
+#include <random>
 #include <sstream>
 
 #include <arpa/inet.h>
@@ -450,38 +451,36 @@
 
 store::store(const std::string& host)
 {
-    m_listener = std::make_unique<listener>(host, 0, [this](channel& from) { serve(from); });
+    m_listener = std::make_unique<listener>(host, 0, [this](channel& from) { serve(from, -1); });
     m_expirer = std::thread([this] { expire(); });
     m_expirer.detach();
 }
 
-void store::serve(channel& from)
+int store::add_port(int tag)
+{
+    m_further_listeners.push_back(
+        std::make_unique<listener>("127.0.0.1", 0, [this, tag](channel& from) { serve(from, tag); }));
+    return m_further_listeners.back()->port();
+}
+
+void store::serve(channel& from, int tag)
 {
     while (true) {
         message call;
         if (!read_head(from, call, now_ms() + 600'000) || !read_body(from, call, now_ms() + 10'000)) {
             return;
         }
-        ++m_calls;
-        if (m_is_silent) {
-            while (m_is_silent && !from.has_peer_closed()) {
-                sleep_ms(20);
-            }
-            return;
-        }
         const std::pair<int, std::string> result = answer(call);
-        if (m_is_silent) {
-            while (m_is_silent && !from.has_peer_closed()) {
-                sleep_ms(20);
-            }
-            return;
-        }
-        const std::string text = "HTTP/1.1 " + std::to_string(result.first) +
-                                 " Store\r\nContent-Type: application/json\r\nStore-Era: 1\r\nContent-Length: " +
-                                 std::to_string(result.second.size()) + "\r\n\r\n" + result.second;
+        const std::string text =
+            "HTTP/1.1 " + std::to_string(result.first) +
+            " Store\r\nContent-Type: application/json\r\nStore-Era: 1\r\nContent-Length: " +
+            std::to_string(result.second.size()) + "\r\n\r\n" + result.second;
         if (!from.send(text)) {
             return;
         }
+        if (on_watch_answered && call.target.rfind("/kv-watch", 0) == 0) {
+            on_watch_answered(tag, std::atoll(parse_query(call.target)["waitMs"].c_str()));
+        }
     }
 }
 
@@ -637,10 +636,10 @@
                 continue;
             }
             events += events.empty() ? "" : ",";
-            events += entry.written ? to_json(entry.key, *entry.written)
-                                    : "{\"key\":" + quote(entry.key) +
-                                          ",\"revision\":" + std::to_string(entry.revision) +
-                                          ",\"tombstone\":true}";
+            events += entry.written
+                          ? to_json(entry.key, *entry.written)
+                          : "{\"key\":" + quote(entry.key) +
+                                ",\"revision\":" + std::to_string(entry.revision) + ",\"tombstone\":true}";
         }
         if (!events.empty() || steady::now() >= end) {
             return {200, "{\"events\":[" + events + "],\"at\":" + std::to_string(m_revision) + "}"};
@@ -664,9 +663,9 @@
     }
     const auto found = m_items.find(key);
     if ((found == m_items.end() ? 0 : found->second.revision) != revision) {
-        return {412, "{\"items\":[" + (found == m_items.end() ? std::string("{\"key\":" + quote(key) +
-                                                                             ",\"revision\":0}")
-                                                              : to_json(key, found->second)) +
+        return {412, "{\"items\":[" +
+                         (found == m_items.end() ? std::string("{\"key\":" + quote(key) + ",\"revision\":0}")
+                                                 : to_json(key, found->second)) +
                          "]}"};
     }
     const std::uint64_t lease_id = to_number(find_json(put, "lease"));
@@ -677,6 +676,40 @@
     return {200, "{\"revision\":" + std::to_string(m_revision) + "}"};
 }
 
+held_path::held_path(std::string host, int port)
+    : m_host(std::move(host)), m_port(port), m_listener("127.0.0.1", 0, [this](channel& from) { pass(from); })
+{
+}
+
+void held_path::pass(channel& client)
+{
+    while (is_cut) {
+        sleep_ms(5);
+    }
+    const std::unique_ptr<channel> server = connect_to(m_host, m_port);
+    if (!server) {
+        return;
+    }
+    channel* const ends[2] = {&client, server.get()};
+    while (true) {
+        if (is_cut) {
+            sleep_ms(5);
+            continue;
+        }
+        pollfd ready[2] = {{client.socket(), POLLIN, 0}, {server->socket(), POLLIN, 0}};
+        ::poll(ready, 2, 20);
+        for (int side = 0; side < 2; ++side) {
+            if (ready[side].revents == 0 || is_cut) {
+                continue;
+            }
+            if (!ends[side]->fill(now_ms()) || !ends[1 - side]->send(ends[side]->unread)) {
+                return;
+            }
+            ends[side]->unread.clear();
+        }
+    }
+}
+
 endpoint::endpoint(std::string id, std::string service, std::string zone, handler serve_call)
     : m_id(std::move(id)),
       m_service(std::move(service)),
@@ -704,10 +737,10 @@
         if (!read_head(from, request, now_ms() + 15'000)) {
             return;
         }
-        endpoint_call call{from, request, find_header(request.fields, "Quetzalspan-Request-Id"),
-                           find_header(request.fields, "Quetzalspan-Tenant-Id"),
-                           now_ms() + std::atoll(find_header(request.fields, "Quetzalspan-Request-Deadline-Ms")
-                                                     .c_str())};
+        endpoint_call call{
+            from, request, find_header(request.fields, "Quetzalspan-Request-Id"),
+            find_header(request.fields, "Quetzalspan-Tenant-Id"),
+            now_ms() + std::atoll(find_header(request.fields, "Quetzalspan-Request-Deadline-Ms").c_str())};
         if (request.target.rfind("/health", 0) == 0) {
             from.send("HTTP/1.1 200 OK\r\nQuetzalspan-Instance-Id: " + m_id +
                       "\r\nContent-Length: 0\r\n\r\n");
@@ -737,6 +770,32 @@
            extra_fields + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
 }
 
+std::string find_free_address()
+{
+    std::random_device random;
+    const auto is_free = [](const std::string& host, int type, int port) {
+        const int socket = ::socket(AF_INET, type | SOCK_CLOEXEC, 0);
+        sockaddr_in address{};
+        address.sin_family = AF_INET;
+        address.sin_port = htons(static_cast<std::uint16_t>(port));
+        inet_pton(AF_INET, host.c_str(), &address.sin_addr);
+        const bool is_bound = ::bind(socket, reinterpret_cast<sockaddr*>(&address), sizeof address) == 0;
+        ::close(socket);
+        return is_bound;
+    };
+    while (true) {
+        const std::string host = "127." + std::to_string(64 + random() % 64) + "." +
+                                 std::to_string(random() % 256) + "." + std::to_string(1 + random() % 254);
+        bool are_free = is_free(host, SOCK_DGRAM, 7220);
+        for (const int port : {8665, 8666, 8668, 9464}) {
+            are_free = are_free && is_free(host, SOCK_STREAM, port);
+        }
+        if (are_free) {
+            return host;
+        }
+    }
+}
+
 instance::instance(std::string name, std::string ip, std::string zone, std::string region, int store_port,
                    std::map<std::string, std::string> zones, const std::string& folder)
     : m_name(std::move(name)),
@@ -764,14 +823,14 @@
         << "terms.contracts=base,drain,config,cost,retry,recover,places,tenants,quota,platform\n"
         << "terms.faultTolerance.machines=2\nterms.faultTolerance.zones=1\nterms.faultTolerance.regions=1\n";
     const std::vector<std::pair<const char*, const char*>> bounds{
-        {"seedLagS", "3"},          {"reuseAfterS", "2"},       {"stableWindowMs", "3000"},
-        {"ackTimeoutMs", "4000"},   {"catchUpS", "4"},          {"drainTimeoutMs", "2000"},
-        {"gracePeriodS", "6"},      {"lossSlackMs", "200"},     {"configApplyMs", "2000"},
-        {"rollbackSlackMs", "250"}, {"maxStretchMs", "5000"},   {"strictRevocation", "true"},
+        {"seedLagS", "3"},           {"reuseAfterS", "2"},        {"stableWindowMs", "3000"},
+        {"ackTimeoutMs", "4000"},    {"catchUpS", "4"},           {"drainTimeoutMs", "2000"},
+        {"gracePeriodS", "6"},       {"lossSlackMs", "200"},      {"configApplyMs", "2000"},
+        {"rollbackSlackMs", "250"},  {"maxStretchMs", "5000"},    {"strictRevocation", "true"},
         {"revokeTimeoutMs", "5000"}, {"retryBudgetRatio", "0.2"}, {"budgetWindowS", "10"},
-        {"retryBudgetSlack", "56"}, {"quotaWindowS", "5"},      {"quotaOverage", "0.1"},
-        {"quotaSlack", "20"},       {"coldOverage", "1.5"},     {"coldSlack", "5"},
-        {"evacuationMs", "5000"},   {"recoveryS", "15"},        {"ttl_max_s", "5"},
+        {"retryBudgetSlack", "56"},  {"quotaWindowS", "5"},       {"quotaOverage", "0.1"},
+        {"quotaSlack", "20"},        {"coldOverage", "1.5"},      {"coldSlack", "5"},
+        {"evacuationMs", "5000"},    {"recoveryS", "15"},         {"ttl_max_s", "5"},
         {"maxShift", "0.15"}};
     for (const auto& [bound, value] : bounds) {
         out << "terms.bounds." << bound << "=" << value << "\n";
--- a/review/standins/world.h
+++ b/review/standins/world.h
@@ -115,9 +115,10 @@
     // Writes a key as the operator or an endpoint does. Returns the revision.
     std::uint64_t put(const std::string& key, const std::string& value);
     void remove(const std::string& key);
-    // The calls of these instances are left without an answer.
-    void set_silent(bool is_silent) { m_is_silent = is_silent; }
-    std::uint64_t calls() const { return m_calls; }
+    // Opens another port to the same store. Calls that arrive there are known by the tag.
+    int add_port(int tag);
+    // Called after a watch that came in with the tag was answered. Set it before an instance starts.
+    std::function<void(int tag, std::int64_t wait_ms)> on_watch_answered;
 
 private:
     struct item {
@@ -136,7 +137,7 @@
         std::int64_t ttl_ms = 0;
     };
 
-    void serve(channel& from);
+    void serve(channel& from, int tag);
     std::pair<int, std::string> answer(const message& call);
     std::pair<int, std::string> range(const std::map<std::string, std::string>& query);
     std::pair<int, std::string> watch(const std::map<std::string, std::string>& query);
@@ -153,12 +154,27 @@
     std::map<std::uint64_t, lease> m_leases;
     std::uint64_t m_revision = 1;
     std::uint64_t m_next_lease = 100;
-    std::atomic<bool> m_is_silent{false};
-    std::atomic<std::uint64_t> m_calls{0};
     std::unique_ptr<listener> m_listener;
+    std::vector<std::unique_ptr<listener>> m_further_listeners;
     std::thread m_expirer;
 };
 
+// A path to an address. It passes bytes on in both directions, and holds them while it is cut.
+class held_path
+{
+public:
+    held_path(std::string host, int port);
+    int port() const { return m_listener.port(); }
+    std::atomic<bool> is_cut{false};
+
+private:
+    void pass(channel& client);
+
+    std::string m_host;
+    int m_port;
+    listener m_listener;
+};
+
 // What an endpoint does with a request after the head was read. It has to read the body itself.
 struct endpoint_call {
     channel& from;
@@ -198,6 +214,9 @@
                           const std::string& extra_fields = "", bool is_signed = true);
 std::string signature_of(const std::string& id, const std::string& body);
 
+// Returns a loopback address on which the ports of an instance are free.
+std::string find_free_address();
+
 // An instance, started with the command of the deploy file and a settings file of its own.
 class instance
 {
--- a/review/standins/world_config.h
+++ b/review/standins/world_config.h
@@ -25,11 +25,14 @@
            "\",\"routes\":{\"r-safe\":{\"host\":\"review.example\",\"prefix\":\"/safe/\",\"kind\":\"safe\","
            "\"timeoutMs\":" +
            std::to_string(options.safe_timeout_ms) + ",\"targetLatencyMs\":250" + common +
-           ",\"r-unsafe\":{\"host\":\"review.example\",\"prefix\":\"/unsafe/\",\"kind\":\"unsafe\",\"timeoutMs\":" +
+           ",\"r-unsafe\":{\"host\":\"review.example\",\"prefix\":\"/unsafe/"
+           "\",\"kind\":\"unsafe\",\"timeoutMs\":" +
            std::to_string(options.unsafe_timeout_ms) + ",\"targetLatencyMs\":300" + common +
-           "},\"services\":{\"orders\":{\"healthCheckPath\":\"/health\",\"maxConnections\":330,\"protocol\":\"h1\","
+           "},\"services\":{\"orders\":{\"healthCheckPath\":\"/"
+           "health\",\"maxConnections\":330,\"protocol\":\"h1\","
            "\"tls\":false,\"coldStartS\":3.0,\"coldPerS\":4.8}},\"limits\":{\"maxHeaderBytes\":16384,"
-           "\"maxBodyBytes\":67108864,\"headerTimeoutMs\":3000,\"idleTimeoutMs\":15000},\"tenants\":{\"amber\":{"
+           "\"maxBodyBytes\":67108864,\"headerTimeoutMs\":3000,\"idleTimeoutMs\":15000},\"tenants\":{"
+           "\"amber\":{"
            "\"apiKeys\":" +
            options.keys + ",\"priority\":1,\"ratePerS\":0,\"burst\":0,\"homeRegions\":[]}}}";
 }
