Platform: Notice soon that the store has returned

What callers saw: requests reached endpoints up to 8.6 s after the store had acknowledged their removal, and bookings among them were lost when the endpoints exited.

Cause: after an outage, endpoints without a record are kept for 2.2 s from the first answer, so that those whose records expired meanwhile can write them again. A call that was sent while the store was silent is never answered, and after two failures a listing was waited for during 3 s. The first answer therefore came up to 3.3 s after the return, and the grace period ended up to 5.7 s after it, while the bound is 3 s. The expiry itself was checked by a task that runs every 200 ms.

Missing endpoints are dropped at the choice of an endpoint, not only by the periodic task.

Ruled out: a shorter grace period. Records are back up to 2 s after the return, so that endpoints in service would be dropped.

--- a/packages/edge/endpoint_balancer.cpp
+++ b/packages/edge/endpoint_balancer.cpp
@@ -117,6 +117,7 @@
     };
 
     const std::lock_guard<std::mutex> guard(m_mutex);
+    m_catalog.remove_missing(now);
     const std::map<std::string, placement::region_weights>::const_iterator weights =
         m_region_weights.find(*request.service);
     if (weights != m_region_weights.end() && workspace_homes.empty()) {
@@ -142,6 +143,7 @@
                                         std::optional<core::duration> token_wait, core::instant now)
 {
     const std::lock_guard<std::mutex> guard(m_mutex);
+    m_catalog.remove_missing(now);
     placement::endpoint& target = *chosen.target;
     bool has_token = false;
     if (token_wait) {
--- a/packages/edge/tests/store_watcher_test.cpp
+++ b/packages/edge/tests/store_watcher_test.cpp
@@ -112,6 +112,20 @@
         return is_reached();
     }
 
+    // Returns whether the balancer finds an endpoint for a request at the given time.
+    bool takes_requests(core::instant now)
+    {
+        const std::string service = "mill";
+        const std::vector<std::string> tried;
+        const routing::route route;
+        attempt_request wanted;
+        wanted.request_id = "id";
+        wanted.service = &service;
+        wanted.route = &route;
+        wanted.tried = &tried;
+        return !std::holds_alternative<caller::rejection>(balancer.acquire(wanted, now));
+    }
+
     void teardown() override
     {
         watcher.stop();
@@ -328,21 +342,28 @@
     watcher.start();
     CHECK_TRUE(run_until([this] { return watcher.has_listed() && balancer.size() == 1; }));
     test_store->put("operators/evacuate/savo-a", "");
-    const std::function<bool()> takes_requests = [this] {
-        const std::string service = "mill";
-        const std::vector<std::string> tried;
-        const routing::route route;
-        attempt_request wanted;
-        wanted.request_id = "id";
-        wanted.service = &service;
-        wanted.route = &route;
-        wanted.tried = &tried;
-        return !std::holds_alternative<caller::rejection>(
-            balancer.acquire(wanted, std::chrono::steady_clock::now()));
+    const std::function<bool()> takes_requests_now = [this] {
+        return takes_requests(std::chrono::steady_clock::now());
     };
-    CHECK_TRUE(run_until([&] { return !takes_requests(); }));
+    CHECK_TRUE(run_until([&] { return !takes_requests_now(); }));
     test_store->restore();
     const std::size_t watches = test_store->watch_timeouts().size();
     CHECK_TRUE(run_until([&] { return test_store->watch_timeouts().size() > watches + 3; }));
-    CHECK_FALSE(takes_requests());
+    CHECK_FALSE(takes_requests_now());
+}
+
+// Guards against requests to an endpoint beyond the grace period for its missing record, in the time up to
+// the next periodic update of the balancer.
+TEST(store_watcher, a_missing_endpoint_is_not_chosen_after_the_grace_period)
+{
+    test_store->put("operators/configuration", "3");
+    test_store->put("endpoints/e1", "");
+    watcher.start();
+    CHECK_TRUE(run_until([this] { return watcher.has_listed() && balancer.size() == 1; }));
+    const core::instant now = std::chrono::steady_clock::now();
+    balancer.begin_removal_grace_period(now);
+    balancer.remove("e1", now);
+    const core::duration grace_period = placement::catalog_options().removal_grace_period;
+    CHECK_TRUE(takes_requests(now + grace_period - milliseconds(1)));
+    CHECK_FALSE(takes_requests(now + grace_period));
 }
--- a/packages/http/client.cpp
+++ b/packages/http/client.cpp
@@ -106,6 +106,11 @@
 }
 
 asio::awaitable<response> client::send(request message, core::duration timeout)
+{
+    co_return co_await send(std::move(message), response_timeouts{timeout, timeout});
+}
+
+asio::awaitable<response> client::send(request message, response_timeouts timeouts)
 {
     const beast::http::request<beast::http::string_body> outgoing = to_beast(std::move(message), m_host);
     stream_pointer stream = take_idle();
@@ -121,9 +126,10 @@
         }
     }
     if (!stream) {
-        stream = co_await connect(std::min(timeout, m_options.connect_timeout));
+        stream = co_await connect(std::min(timeouts.header, m_options.connect_timeout));
     }
-    stream->expires_after(timeout);
+    const core::instant opened_at = std::chrono::steady_clock::now();
+    stream->expires_at(opened_at + std::min(timeouts.header, timeouts.whole));
     beast::error_code error;
     co_await beast::http::async_write(*stream, outgoing, asio::redirect_error(asio::use_awaitable, error));
     if (error) {
@@ -132,6 +138,12 @@
     beast::flat_buffer buffer;
     beast::http::response_parser<beast::http::string_body> parser;
     parser.body_limit(m_options.body_limit_bytes);
+    co_await beast::http::async_read_header(*stream, buffer, parser,
+                                            asio::redirect_error(asio::use_awaitable, error));
+    if (error) {
+        throw to_transport_error(error);
+    }
+    stream->expires_at(opened_at + timeouts.whole);
     co_await beast::http::async_read(*stream, buffer, parser,
                                      asio::redirect_error(asio::use_awaitable, error));
     if (error) {
--- a/packages/http/client.h
+++ b/packages/http/client.h
@@ -56,6 +56,15 @@
     core::duration connect_timeout = std::chrono::seconds(1);
 };
 
+// Time limits of a request, counted from when its connection is open.
+struct response_timeouts {
+    // Until the header of the response has arrived. A server that does not respond at all is noticed after
+    // this time, however large its responses may be.
+    core::duration header;
+    // Until the whole response has arrived.
+    core::duration whole;
+};
+
 // Thread-safe. A connection carries one request at a time and is closed after any error.
 class client
 {
@@ -71,6 +80,8 @@
     // complete response arrives in time. The timeout starts anew once a new connection is open, so the call
     // may take longer than the timeout by the time that connecting takes.
     boost::asio::awaitable<response> send(request message, core::duration timeout);
+    // The same with a separate time limit for the header of the response.
+    boost::asio::awaitable<response> send(request message, response_timeouts timeouts);
 
     // Closes the idle connections, for example after a request on another connection got no response.
     void close_idle();
--- a/packages/placement/endpoint_catalog.cpp
+++ b/packages/placement/endpoint_catalog.cpp
@@ -110,6 +110,7 @@
         }
     }
     if (now < m_grace_until) {
+        m_keeps_missing = true;
         notify_change(catalog_change::missing, current);
         return;
     }
@@ -129,9 +130,10 @@
 
 void endpoint_catalog::remove_missing(core::instant now)
 {
-    if (now < m_grace_until) {
+    if (!m_keeps_missing || now < m_grace_until) {
         return;
     }
+    m_keeps_missing = false;
     for (std::map<std::string, endpoint_pointer>::iterator entry = m_endpoints.begin();
          entry != m_endpoints.end();) {
         const std::map<std::string, endpoint_pointer>::iterator current = entry++;
--- a/packages/placement/endpoint_catalog.h
+++ b/packages/placement/endpoint_catalog.h
@@ -85,7 +85,8 @@
         m_grace_until = now + m_options.removal_grace_period;
     }
 
-    // Removes the endpoints whose records are still missing after the grace period.
+    // Removes the endpoints whose records are still missing after the grace period. Called before each choice
+    // of an endpoint, so that none is used beyond that period.
     void remove_missing(core::instant now);
 
     // Sets the availability zones whose endpoints receive no new requests. Endpoints of a zone that is no
@@ -124,6 +125,8 @@
     std::set<std::string> m_evacuated_zones;
     // Endpoints with a missing record are kept until this time.
     core::instant m_grace_until;
+    // Whether an endpoint with a missing record is kept.
+    bool m_keeps_missing = false;
 };
 
 // Returns whether new requests may be sent to the endpoint: it is serving, not leaving, not evacuated and not
