Placement: Remove the last endpoints of a service at once

What callers saw: the last endpoint of a service received bookings 2.1 s after the acknowledgement of its removal.

Cause: if more than half of the endpoints that the catalog held for a service had no record, an outage of service discovery was assumed and the grace period of 2.2 s began, for all services. Endpoints that had been removed before were no longer held, so this was true for the last endpoint of every service, and of several that were removed one after the other only the last one was kept.

Change: a removal counts at once unless an outage of the store has been noticed. So that no outage is missed in exchange, it is measured between the times up to which the copy was complete instead of between answers: a relay confirmed its copy for up to 1.6 s of an outage, which was then not noticed by the instances that asked it.

The test endpoint_catalog.a_mass_removal_has_the_same_grace_period asked for the fault: it wanted an endpoint in use 2.2 s after its removal was learnt, while the store was in order, beyond the 2 s that are allowed from the acknowledgement. It is replaced by all_endpoints_of_a_service_are_kept_after_an_outage, which guards against the same loss in the case in which it can happen, and checks all four endpoints instead of one, and by the_last_endpoints_of_a_service_are_removed_at_once, which failed before, as did store_watcher.an_outage_is_measured_from_what_the_relay_knew.

--- a/packages/edge/store_watcher.cpp
+++ b/packages/edge/store_watcher.cpp
@@ -5,6 +5,7 @@
 
 #include "core/log_event.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace quetzalspan::edge
@@ -13,8 +14,9 @@
 namespace
 {
 
-// A gap between answers that exceeds their usual interval by more than this counts as an outage of the store.
-constexpr core::duration outage_margin = std::chrono::milliseconds(900);
+// A time without knowledge of the store that exceeds the interval of watches by more than this counts as an
+// outage.
+constexpr core::duration outage_margin = std::chrono::milliseconds(400);
 
 // Time after a restore of the store within which operators, endpoints and instances have written again what
 // the store has lost, and leases of instances that have ended since its copy was made have expired.
@@ -27,10 +29,10 @@
 
 } // namespace
 
-bool store_watcher::outage_detector::record_answer(core::instant now)
+bool store_watcher::outage_detector::record_answer(core::instant complete_until)
 {
-    const bool is_end = m_last_answer && now - *m_last_answer > m_limit;
-    m_last_answer = now;
+    const bool is_end = m_complete_until && complete_until - *m_complete_until > m_limit;
+    m_complete_until = m_complete_until ? std::max(*m_complete_until, complete_until) : complete_until;
     return is_end;
 }
 
@@ -71,7 +73,9 @@
     hooks.on_entry = [this](const std::string& key, const store::store_entry* entry) {
         on_entry(key, entry);
     };
-    hooks.on_call_succeeded = [this] { on_call_succeeded(); };
+    hooks.on_call_succeeded = [this](core::boot_instant complete_until) {
+        on_call_succeeded(complete_until);
+    };
     hooks.on_update = [this] { on_update(); };
     hooks.on_confirmed = [this](core::boot_instant sent) { on_confirmed(sent); };
     hooks.on_restored = [this] { on_restored(); };
@@ -107,10 +111,11 @@
     }
 }
 
-void store_watcher::on_call_succeeded()
+void store_watcher::on_call_succeeded(core::boot_instant complete_until)
 {
     const core::instant now = current_time();
-    if (m_outage.record_answer(now)) {
+    const core::instant age_subtracted = now - (core::boot_clock::now() - complete_until);
+    if (m_outage.record_answer(age_subtracted)) {
         m_targets.balancer.begin_removal_grace_period(now);
         m_targets.membership.begin_removal_grace_period(now);
         core::info_event("absence_grace_begun").with("cause", "store-was-away");
--- a/packages/edge/store_watcher.h
+++ b/packages/edge/store_watcher.h
@@ -58,23 +58,24 @@
     bool has_listed() const { return m_mirror->has_listed(); }
 
 private:
-    // Detects gaps between answers of the store that are long enough for leases to have expired.
+    // Detects times without knowledge of the store that are long enough for leases to have expired.
     class outage_detector
     {
     public:
         explicit outage_detector(core::duration limit) : m_limit(limit) {}
-        // Records an answer. Returns whether the time since the previous answer exceeded the limit.
-        bool record_answer(core::instant now);
+        // Records an answer that was complete up to the given time. Returns whether this is later than that
+        // of the previous answer by more than the limit.
+        bool record_answer(core::instant complete_until);
 
     private:
         core::duration m_limit;
-        std::optional<core::instant> m_last_answer;
+        std::optional<core::instant> m_complete_until;
     };
 
     std::shared_ptr<store::prefix_mirror> make_mirror(const boost::asio::any_io_executor& executor);
     void on_entry(const std::string& key, const store::store_entry* entry);
     void apply_entry(const std::string& key, const store::store_entry* entry);
-    void on_call_succeeded();
+    void on_call_succeeded(core::boot_instant complete_until);
     void on_update();
     void on_confirmed(core::boot_instant sent);
     void on_restored();
--- a/packages/edge/tests/store_watcher_test.cpp
+++ b/packages/edge/tests/store_watcher_test.cpp
@@ -367,3 +367,27 @@
     CHECK_TRUE(takes_requests(now + grace_period - milliseconds(1)));
     CHECK_FALSE(takes_requests(now + grace_period));
 }
+
+// Guards against an outage of the store that is missed because a relay went on confirming its older copy for
+// a part of it: endpoints whose records had expired were removed before they could write them again.
+TEST(store_watcher, an_outage_is_measured_from_what_the_relay_knew)
+{
+    mode = store::watch_mode::asking;
+    test_store->put("operators/configuration", "3");
+    for (const char* key : {"endpoints/e1", "endpoints/e2", "endpoints/e3"}) {
+        test_store->put(key, "");
+    }
+    watcher.start();
+    CHECK_TRUE(run_until([this] { return watcher.has_listed() && balancer.size() == 3; }));
+    const core::boot_instant before_outage = core::boot_clock::now() + seconds(1);
+    peer_answer = store::peer_confirmation{0, watcher.confirmation()->revision, before_outage};
+    CHECK_TRUE(run_until([&] { return state.age(before_outage) == core::boot_clock::duration(0); }));
+    const core::boot_instant after_outage = before_outage + seconds(2);
+    peer_answer->as_of = after_outage;
+    CHECK_TRUE(run_until([&] { return state.age(after_outage) == core::boot_clock::duration(0); }));
+    test_store->remove("endpoints/e1");
+    test_store->put("operators/configuration", "4");
+    peer_answer.reset();
+    CHECK_TRUE(run_until([this] { return state.table()->version() == 4; }));
+    CHECK_TRUE(balancer.knows("e1"));
+}
--- a/packages/placement/endpoint.h
+++ b/packages/placement/endpoint.h
@@ -22,9 +22,9 @@
 
     // When this instance first received a record of the current incarnation.
     core::instant known_since;
-    // When its record was found missing. The endpoint is removed from the catalog after the grace period for
+    // Whether its record is missing. The endpoint is removed from the catalog after the grace period for
     // missing records; until then it may receive requests.
-    std::optional<core::instant> missing_since;
+    bool is_missing = false;
     // Whether it has said in a response that it is leaving. Holds until it starts anew.
     bool is_leaving = false;
     // Whether its availability zone is being evacuated.
--- a/packages/placement/endpoint_catalog.cpp
+++ b/packages/placement/endpoint_catalog.cpp
@@ -88,7 +88,7 @@
         return;
     }
     existing.record = record;
-    existing.missing_since.reset();
+    existing.is_missing = false;
     existing.is_evacuated = m_evacuated_zones.contains(record.availability_zone);
     if (record.remaining_cold_time > core::duration(0)) {
         existing.cold_until = std::max(existing.cold_until, now + record.remaining_cold_time);
@@ -102,30 +102,13 @@
     if (existing == m_endpoints.end()) {
         return;
     }
-    endpoint& current = *existing->second;
-    if (!current.missing_since) {
-        current.missing_since = now;
-        if (is_mass_removal(current)) {
-            begin_removal_grace_period(now);
-        }
-    }
-    if (now < m_grace_until) {
-        m_keeps_missing = true;
-        notify_change(catalog_change::missing, current);
+    if (now >= m_grace_until) {
+        erase(existing);
         return;
     }
-    erase(existing);
-}
-
-bool endpoint_catalog::is_mass_removal(const endpoint& candidate) const
-{
-    const std::vector<endpoint_pointer>& others = find_service(candidate.record.service);
-    std::size_t missing = 0;
-    for (const endpoint_pointer& other : others) {
-        missing += other->missing_since ? 1 : 0;
-    }
-    return static_cast<double>(missing) >
-           m_options.mass_removal_fraction * static_cast<double>(others.size());
+    existing->second->is_missing = true;
+    m_keeps_missing = true;
+    notify_change(catalog_change::missing, *existing->second);
 }
 
 void endpoint_catalog::remove_missing(core::instant now)
@@ -137,7 +120,7 @@
     for (std::map<std::string, endpoint_pointer>::iterator entry = m_endpoints.begin();
          entry != m_endpoints.end();) {
         const std::map<std::string, endpoint_pointer>::iterator current = entry++;
-        if (current->second->missing_since) {
+        if (current->second->is_missing) {
             erase(current);
         }
     }
--- a/packages/placement/endpoint_catalog.h
+++ b/packages/placement/endpoint_catalog.h
@@ -21,10 +21,6 @@
     // How long endpoints without a record are kept after an outage of the record store. Records that expired
     // during the outage are written again within about 2 s after the store is available.
     core::duration removal_grace_period = std::chrono::milliseconds(2200);
-    // If a record is removed and more than this fraction of the endpoints that the catalog holds for the
-    // service is then without a record, the cause is assumed to be an outage of service discovery, and the
-    // same grace period applies.
-    double mass_removal_fraction = 0.5;
 };
 
 enum class catalog_change {
@@ -110,7 +106,6 @@
     void erase(std::map<std::string, endpoint_pointer>::iterator entry);
     void add_to_service(const endpoint_pointer& added);
     void remove_from_service(const endpoint& removed);
-    bool is_mass_removal(const endpoint& candidate) const;
     void notify_change(catalog_change change, const endpoint& subject) const;
 
     catalog_options m_options;
--- a/packages/placement/tests/catalog_test.cpp
+++ b/packages/placement/tests/catalog_test.cpp
@@ -124,20 +124,44 @@
     CHECK(endpoints.find("b") == nullptr);
 }
 
-// Guards against a service without endpoints after service discovery has lost all of their records at once.
-TEST(endpoint_catalog, a_mass_removal_has_the_same_grace_period)
+// Guards against a service without endpoints after the records of all of them have expired in an outage of
+// service discovery.
+TEST(endpoint_catalog, all_endpoints_of_a_service_are_kept_after_an_outage)
 {
     for (const char* id : {"a", "b", "c", "d"}) {
         endpoints.apply(make_record(id, 1, 1), at_ms(0), true);
     }
+    endpoints.begin_removal_grace_period(at_ms(100));
     for (const char* id : {"a", "b", "c", "d"}) {
         endpoints.remove(id, at_ms(100));
     }
-    CHECK_TRUE(may_receive_requests("d"));
+    endpoints.remove_missing(at_ms(2200));
+    for (const char* id : {"a", "b", "c", "d"}) {
+        CHECK_TRUE(may_receive_requests(id));
+    }
     endpoints.remove_missing(at_ms(2400));
     CHECK_EQUAL(0U, endpoints.size());
 }
 
+// Guards against requests to the last endpoints of a service for 2.2 s after their removal, as if service
+// discovery had failed: bookings were lost when they exited.
+TEST(endpoint_catalog, the_last_endpoints_of_a_service_are_removed_at_once)
+{
+    for (const char* id : {"a", "b", "c"}) {
+        endpoints.apply(make_record(id, 1, 1), at_ms(0), true);
+    }
+    endpoints.remove("a", at_ms(100));
+    endpoints.remove("b", at_ms(200));
+    CHECK_EQUAL(1U, endpoints.size());
+    endpoints.remove("c", at_ms(300));
+    CHECK_EQUAL(0U, endpoints.size());
+    // The removal of the last one must not delay those of other endpoints either.
+    endpoints.apply(make_record("d", 1, 1), at_ms(400), false);
+    endpoints.apply(make_record("e", 1, 1), at_ms(400), false);
+    endpoints.remove("d", at_ms(500));
+    CHECK(endpoints.find("d") == nullptr);
+}
+
 // Guards against requests to an evacuated zone, including to endpoints that are added to it, and against full
 // load on endpoints that became cold during the evacuation.
 TEST(endpoint_catalog, an_evacuated_zone_receives_nothing_and_is_cold_afterwards)
--- a/packages/store/prefix_mirror.cpp
+++ b/packages/store/prefix_mirror.cpp
@@ -135,7 +135,7 @@
         co_return false;
     }
     if (m_hooks.on_call_succeeded) {
-        m_hooks.on_call_succeeded();
+        m_hooks.on_call_succeeded(answer->as_of);
     }
     report_confirmed(answer->as_of);
     co_return true;
@@ -157,7 +157,7 @@
         co_return;
     }
     if (m_hooks.on_call_succeeded) {
-        m_hooks.on_call_succeeded();
+        m_hooks.on_call_succeeded(sent_at);
     }
     if (found.epoch < m_epoch) {
         // A response from before the store was restored.
@@ -279,7 +279,7 @@
         co_return;
     }
     if (m_hooks.on_call_succeeded) {
-        m_hooks.on_call_succeeded();
+        m_hooks.on_call_succeeded(sent_at);
     }
     if (found.is_history_discarded) {
         core::info_event("store_history_discarded").with("prefix", m_options.prefix).with("after", after);
--- a/packages/store/prefix_mirror.h
+++ b/packages/store/prefix_mirror.h
@@ -73,8 +73,9 @@
         // Called before on_update for each entry that was created or changed, and with a null pointer for
         // each that was deleted.
         std::function<void(const std::string& key, const store_entry*)> on_entry;
-        // Called after each successful call, before its changes are reported.
-        std::function<void()> on_call_succeeded;
+        // Called after each successful call, before its changes are reported, with the time up to which its
+        // result is complete.
+        std::function<void(core::boot_instant)> on_call_succeeded;
         // Called after the result of a call was applied, with the time at which the call was sent. The copy
         // then contains every change that the store acknowledged before that time.
         std::function<void(core::boot_instant)> on_confirmed;
