Edge: Ask a relay again before its confirmation gets old

Cause: a confirmation of the relay counted until it was 1.6 s old, and the next question followed 0.9 s later, whatever its age. A change that the store acknowledged just after the relay's last watch, 0.4 s after the confirmation's time, was followed only 1.6 + 0.9 - 0.4 = 2.1 s later, and the bound is 2 s.

Change: the question is repeated when the confirmation is 1.4 s old at the latest, and a confirmation older than 1.2 s is not used. A relay that has lost the store is passed over 1.4 s after its last confirmation, or 1.6 s if it does not answer, and the instance's own watch follows at once.

Ruled out: a shorter pause for all questions, which would raise the messages between instances also while the confirmations are young.

--- a/packages/edge/confirmation_client.cpp
+++ b/packages/edge/confirmation_client.cpp
@@ -14,8 +14,9 @@
 
 // Far above a round trip within a region. The instance's own watch follows if there is no answer.
 constexpr core::duration answer_timeout = std::chrono::milliseconds(200);
-// Twice the longest interval between two confirmations of a relay that works.
-constexpr core::duration max_age = std::chrono::milliseconds(1600);
+// The oldest confirmation that is used. That of a relay that works is at most 1 s old, and an older one would
+// soon have to be replaced; see instance_options::max_confirmation_age.
+constexpr core::duration max_age = std::chrono::milliseconds(1200);
 // Time before a relay that did not answer, or whose knowledge was old, is asked again.
 constexpr core::duration skip_time = std::chrono::milliseconds(1500);
 constexpr double skip_lines_per_second = 1;
--- a/packages/edge/instance_options.h
+++ b/packages/edge/instance_options.h
@@ -56,6 +56,10 @@
     core::duration relay_watch_timeout = std::chrono::milliseconds(400);
     core::duration relay_watch_pause = std::chrono::milliseconds(200);
     core::duration peer_ask_pause = std::chrono::milliseconds(900);
+    // The age of a relay's confirmation at which it is asked again before the end of that pause. If it has
+    // lost the store, the question and the instance's own watch that follows still end within the 2 s in
+    // which a configuration must be in force.
+    core::duration max_confirmation_age = std::chrono::milliseconds(1400);
 
     // Interval between two demand reports to a collector, and between two messages with sums from it.
     core::duration demand_interval = std::chrono::milliseconds(500);
--- a/packages/edge/store_watcher.cpp
+++ b/packages/edge/store_watcher.cpp
@@ -67,6 +67,7 @@
     options.serving_watch_timeout = m_options.relay_watch_timeout;
     options.serving_watch_pause = m_options.relay_watch_pause;
     options.ask_pause = m_options.peer_ask_pause;
+    options.max_confirmation_age = m_options.max_confirmation_age;
     options.retry_pause = m_options.store_retry_pause;
     options.list_interval = core::duration(0);
     store::prefix_mirror::hooks hooks;
--- a/packages/edge/tests/store_watcher_test.cpp
+++ b/packages/edge/tests/store_watcher_test.cpp
@@ -1,5 +1,6 @@
 // Tests of how store entries are applied to the state that the request path reads.
 
+#include "edge/confirmation_client.h"
 #include "edge/store_watcher.h"
 #include "scripted_store.h"
 
@@ -391,3 +392,52 @@
     CHECK_TRUE(run_until([this] { return state.table()->version() == 4; }));
     CHECK_TRUE(balancer.knows("e1"));
 }
+
+// Guards against an instance that follows a change too late because its relay has lost the store: with a
+// pause of 0.9 s after a confirmation that was 1.1 s old, it used the former configuration for over 2 s.
+TEST(store_watcher, a_relay_that_has_lost_the_store_does_not_hide_a_change)
+{
+    confirmation_client::hooks hooks;
+    instance_record relay;
+    relay.instance = "relay";
+    // The relay has lost the store at this time and goes on telling what it knew.
+    const core::boot_instant lost_at = core::boot_clock::now();
+    std::uint64_t relay_revision = 0;
+    confirmation_client* asked = nullptr;
+    hooks.relay = [&] { return std::optional<instance_record>(relay); };
+    hooks.send = [&](const instance_record&, const std::string& text) {
+        confirmation_message answer;
+        answer.number = std::get<confirmation_request_message>(parse_peer_message(text, "test")).number;
+        answer.revision = relay_revision;
+        answer.age = core::boot_clock::now() - lost_at;
+        boost::asio::post(context, [answer, asked] { asked->handle_answer(answer); });
+        return true;
+    };
+    confirmation_client client(context.get_executor(), "own", hooks);
+    asked = &client;
+    instance_options platform_options;
+    platform_options.instance = "own";
+    store_watcher follower(context.get_executor(), test_store, adapter, platform_options,
+                           {state,
+                            balancer,
+                            membership,
+                            limits,
+                            reserve,
+                            *own_registration,
+                            {},
+                            [] { return store::watch_mode::asking; },
+                            [&] { return client.ask(); }});
+    test_store->put("operators/configuration", "3");
+    // The listing begins so late that the first question meets a confirmation that is just young enough.
+    run_until([&] { return core::boot_clock::now() - lost_at >= milliseconds(1100); });
+    follower.start();
+    CHECK_TRUE(run_until([this] { return state.table() != nullptr; }));
+    relay_revision = follower.confirmation()->revision;
+    test_store->put("operators/configuration", "4");
+    CHECK_TRUE(run_until([this] { return state.table()->version() == 4; }));
+    // The bound is the time in which a configuration must be in force.
+    CHECK(core::boot_clock::now() - lost_at < seconds(2));
+    follower.stop();
+    context.restart();
+    context.run_for(milliseconds(20));
+}
--- a/packages/store/prefix_mirror.cpp
+++ b/packages/store/prefix_mirror.cpp
@@ -103,10 +103,13 @@
     const watch_mode mode = m_hooks.mode ? m_hooks.mode() : watch_mode::own;
     m_is_behind_peer = false;
     if (mode == watch_mode::asking) {
-        const bool is_confirmed = co_await ask_peer();
-        if (is_confirmed || m_watch_timer.is_stopped()) {
+        const std::optional<core::boot_instant> confirmed = co_await ask_peer();
+        if (m_watch_timer.is_stopped()) {
             co_return m_options.ask_pause;
         }
+        if (confirmed) {
+            co_return compute_ask_pause(*confirmed, core::boot_clock::now());
+        }
     }
     if (m_consecutive_failures >= failures_before_listing) {
         co_await list_once();
@@ -120,25 +123,31 @@
     co_return m_is_behind_peer ? m_options.ask_pause : m_options.watch_pause;
 }
 
-asio::awaitable<bool> prefix_mirror::ask_peer()
+asio::awaitable<std::optional<core::boot_instant>> prefix_mirror::ask_peer()
 {
     const std::optional<peer_confirmation> answer = co_await m_hooks.ask_peer();
     if (!answer || m_watch_timer.is_stopped()) {
-        co_return false;
+        co_return std::nullopt;
     }
     if (answer->epoch < m_epoch) {
         // The peer has not noticed yet that the store was restored.
-        co_return false;
+        co_return std::nullopt;
     }
     m_is_behind_peer = answer->epoch > m_epoch || answer->revision > m_revision;
     if (m_is_behind_peer) {
-        co_return false;
+        co_return std::nullopt;
     }
     if (m_hooks.on_call_succeeded) {
         m_hooks.on_call_succeeded(answer->as_of);
     }
     report_confirmed(answer->as_of);
-    co_return true;
+    co_return answer->as_of;
+}
+
+core::duration prefix_mirror::compute_ask_pause(core::boot_instant as_of, core::boot_instant now) const
+{
+    const core::duration until_old = m_options.max_confirmation_age - (now - as_of);
+    return std::clamp(until_old, core::duration(0), m_options.ask_pause);
 }
 
 std::optional<peer_confirmation> prefix_mirror::confirmation() const
--- a/packages/store/prefix_mirror.h
+++ b/packages/store/prefix_mirror.h
@@ -26,6 +26,9 @@
     core::duration serving_watch_pause = std::chrono::milliseconds(200);
     // Pause after each question to a peer.
     core::duration ask_pause = std::chrono::milliseconds(900);
+    // The next question follows sooner if what the peer has confirmed would otherwise become older than this.
+    // It bounds how long a peer that has lost the store can hide a change.
+    core::duration max_confirmation_age = std::chrono::milliseconds(1400);
     // Pause after a call that failed.
     core::duration retry_pause = std::chrono::milliseconds(500);
     // A watch can stall without an error; periodic listings bound how long the copy can then be out of date.
@@ -124,8 +127,11 @@
     boost::asio::awaitable<void> run_watches();
     // Brings the copy up to date in the present mode. Returns the pause before the next time.
     boost::asio::awaitable<core::duration> update_once();
-    // Returns whether a peer has confirmed the copy, so that no call to the store is needed.
-    boost::asio::awaitable<bool> ask_peer();
+    // Returns the time up to which a peer has confirmed the copy, so that no call to the store is needed; no
+    // value if it has not.
+    boost::asio::awaitable<std::optional<core::boot_instant>> ask_peer();
+    // Returns the pause after a confirmation by a peer.
+    core::duration compute_ask_pause(core::boot_instant as_of, core::boot_instant now) const;
     boost::asio::awaitable<void> watch(core::duration timeout);
     void count_failure(const std::exception& error);
     void report_confirmed(core::boot_instant sent_at);
