Edge: Stop sending requests that end their endpoints

Cause: nothing was kept about requests under which endpoints end. Each attempt of a caller has an identifier of its own, so retries, callers and instances repeated the request, and each repetition ended another endpoint. A trace with the target of each failed attempt shows it: 54 of the attempts whose connection an endpoint broke off had the same target, while no other target had more than 2.

Change: - A request is recognized by a fingerprint of host, method, target and body. - After an endpoint has broken a connection off, its address is tried: only if it refuses has the endpoint ended. A lost response alone proves nothing. - An endpoint that ends loses all its requests. Two endpoints must therefore have ended under the same request, without a success of it in between, before it is put into quarantine: 60 s, longer each time. - Instances report ends to two coordinators, chosen by the request; the quarantine is told to all. An instance that has served the request since the first end refuses the notice and lifts the quarantine. Coordinators repeat notices every 5 s for instances that start or have missed one. - A request in quarantine is rejected at once with 503, which is true, and the remaining time as Retry-After. - The event endpoint_ended names the request, its target and the endpoint.

Ruled out: counting lost responses without trying the address (endpoints that only lose responses would make good requests suspect); telling all instances of each end, which costs messages for every request that was under way at an endpoint that crashes.

Tests: request_quarantine.*, quarantine_exchange.*, hooks.an_attempt_tells_whether_its_endpoint_has_ended, request_rules.a_request_under_which_endpoints_have_ended_is_rejected_at_once. What they test did not exist before.

--- a/packages/caller/endpoint_lease.h
+++ b/packages/caller/endpoint_lease.h
@@ -27,6 +27,8 @@
     std::optional<core::duration> wait;
     // Whether the endpoint was contacted. If not, the result says nothing about its health.
     bool was_contacted = false;
+    // Whether the endpoint has ended: it broke the connection off, and its address refuses new ones.
+    bool has_endpoint_ended = false;
     // Time from the creation of the lease to the response's header, and to the end of the attempt.
     core::duration time_to_header{0};
     core::duration total_time{0};
--- a/packages/caller/proxy_hooks.h
+++ b/packages/caller/proxy_hooks.h
@@ -54,6 +54,11 @@
                        dispatch::failure at, core::instant now)>
         grant_retry;
 
+    // Called after each attempt with the identity of its endpoint. Only with this hook is an endpoint that
+    // broke a connection off examined for whether it has ended.
+    std::function<void(const request_summary&, const std::string& endpoint, const attempt_result&)>
+        on_attempt_finished;
+
     // Records a claim for the Idempotency-Key of a non-idempotent request before the request is dispatched,
     // so that a duplicate is recognized.
     std::function<boost::asio::awaitable<std::optional<rejection>>(const request_summary&, const admission&,
--- a/packages/caller/request_body.h
+++ b/packages/caller/request_body.h
@@ -13,6 +13,7 @@
 
 #include <cstdint>
 #include <optional>
+#include <string_view>
 #include <vector>
 
 namespace quetzalspan::caller
@@ -58,6 +59,9 @@
     // Why reading from the caller ended early; no value if it did not.
     std::optional<dispatch::failure> fault() const { return m_fault; }
     std::uint64_t size() const { return m_size; }
+    // What read_prefix() has read, and the announced length; no value for a chunked body.
+    std::string_view prefix() const { return {m_prefix.data(), m_prefix.size()}; }
+    std::optional<std::uint64_t> announced_length() const { return m_content_length; }
 
 private:
     boost::asio::awaitable<std::optional<dispatch::failure>> send_continue();
--- a/packages/caller/request_exchange.cpp
+++ b/packages/caller/request_exchange.cpp
@@ -5,6 +5,7 @@
 
 #include "caller/generated_response.h"
 #include "core/log_event.h"
+#include "core/stable_hash.h"
 #include "dispatch/header_rules.h"
 
 namespace quetzalspan::caller
@@ -22,6 +23,9 @@
 // key.
 constexpr std::size_t idempotency_key_limit_bytes = 256;
 
+// A host without the process refuses a connection within a round trip, so a longer wait tells nothing.
+constexpr core::duration end_check_timeout = std::chrono::milliseconds(200);
+
 core::instant current_time()
 {
     return std::chrono::steady_clock::now();
@@ -43,6 +47,13 @@
     return {text.data(), text.size()};
 }
 
+// Returns whether the endpoint broke the connection off before its response was complete.
+bool is_broken_off(failure at)
+{
+    return at == failure::response_lost || at == failure::response_incomplete ||
+           at == failure::body_truncated;
+}
+
 // Logs truncate longer identifiers, so that two of them could look the same.
 constexpr std::size_t request_id_limit_bytes = 128;
 
@@ -238,12 +249,22 @@
         }
         co_return rejection{*failed};
     }
+    m_summary.fingerprint = compute_fingerprint();
     if (m_body.is_complete()) {
         m_stream.watch_disconnect([this] { handle_disconnect(); });
     }
     co_return std::nullopt;
 }
 
+std::uint64_t request_exchange::compute_fingerprint() const
+{
+    std::uint64_t result = core::stable_hash(m_summary.host);
+    result = core::stable_hash(m_summary.method, result);
+    result = core::stable_hash(m_summary.target, result);
+    result = core::stable_hash(m_body.prefix(), result);
+    return core::mix_hash(result + m_body.announced_length().value_or(m_body.size()));
+}
+
 asio::awaitable<std::optional<rejection>> request_exchange::create_claim()
 {
     if (m_summary.idempotency_key.empty() || m_summary.is_idempotent || !m_context.hooks.create_claim) {
@@ -287,6 +308,11 @@
         result.total_time = current_time() - lease_start;
         result.failure = failed ? std::optional<failure>(failed->failure) : std::nullopt;
         lease.release(result);
+        if (m_context.hooks.on_attempt_finished) {
+            result.has_endpoint_ended =
+                failed && is_broken_off(failed->failure) && co_await has_endpoint_ended(lease);
+            m_context.hooks.on_attempt_finished(m_summary, lease.identity(), result);
+        }
         if (!failed) {
             co_return std::nullopt;
         }
@@ -347,6 +373,15 @@
     co_return failed;
 }
 
+asio::awaitable<bool> request_exchange::has_endpoint_ended(const endpoint_lease& lease)
+{
+    upstream::forwarder check(*m_context.pool, m_memory.upstream_deadline);
+    const core::instant now = current_time();
+    const std::optional<upstream::forward_failure> failed =
+        co_await check.open(lease.address(), now + end_check_timeout, now);
+    co_return failed == upstream::forward_failure::refused;
+}
+
 asio::awaitable<std::optional<rejection>> request_exchange::exchange_messages(upstream::forwarder& exchange,
                                                                               const endpoint_lease& lease,
                                                                               attempt_result& result)
--- a/packages/caller/request_exchange.h
+++ b/packages/caller/request_exchange.h
@@ -58,6 +58,9 @@
     boost::asio::awaitable<std::optional<rejection>> forward();
     boost::asio::awaitable<std::optional<rejection>> send_attempt(const endpoint_lease& lease,
                                                                   attempt_result& result);
+    // Returns whether the endpoint has ended, after it has broken a connection off.
+    boost::asio::awaitable<bool> has_endpoint_ended(const endpoint_lease& lease);
+    std::uint64_t compute_fingerprint() const;
     boost::asio::awaitable<std::optional<rejection>>
     exchange_messages(upstream::forwarder& exchange, const endpoint_lease& lease, attempt_result& result);
     boost::asio::awaitable<std::optional<upstream::forward_failure>>
--- a/packages/caller/request_summary.h
+++ b/packages/caller/request_summary.h
@@ -30,6 +30,10 @@
     std::string_view host;
     // Value of the affinity cookie, which names the object that the request concerns; empty if there is none.
     std::string_view affinity_key;
+    // Hash of what an endpoint receives of the request, without its identifier: host, method, target, and the
+    // beginning and the length of the body. The same for each attempt of a caller. Set once the body has been
+    // read as far as it is before the request is sent.
+    std::uint64_t fingerprint = 0;
     bool is_idempotent = false;
     core::instant received_at;
     core::instant deadline;
--- a/packages/caller/tests/hooks_test.cpp
+++ b/packages/caller/tests/hooks_test.cpp
@@ -161,3 +161,33 @@
     LONGS_EQUAL(200, parse_status(fixture.exchange(make_request("GET", "/v1/entryway"))));
     LONGS_EQUAL(1, fixture.first->executions());
 }
+
+// Guards against an endpoint that has ended and is not told from one that has only lost a response: the
+// request would never be recognized as the cause, and each repetition would end another endpoint.
+TEST(hooks, an_attempt_tells_whether_its_endpoint_has_ended)
+{
+    std::vector<std::uint64_t> fingerprints;
+    fixture.hooks.on_attempt_finished = [&](const caller::request_summary& summary,
+                                            const std::string& endpoint,
+                                            const caller::attempt_result& result) {
+        add_event(endpoint + (result.has_endpoint_ended ? " ended"
+                              : result.failure          ? " failed"
+                                                        : " answered"));
+        const std::lock_guard<std::mutex> lock(mutex);
+        fingerprints.push_back(summary.fingerprint);
+    };
+    fixture.start();
+    fixture.first->set_script({upstream_step::reset_after_running, upstream_step::end_while_running});
+    const std::string request = make_request("GET", "/designs/7");
+    LONGS_EQUAL(200, parse_status(fixture.exchange(request)));
+    LONGS_EQUAL(200, parse_status(fixture.exchange(request)));
+    LONGS_EQUAL(200, parse_status(fixture.exchange(make_request("GET", "/designs/8"))));
+    fixture.wait_for_finished(3);
+    CHECK(event_at(0).ends_with(" failed"));
+    CHECK(event_at(1).ends_with(" answered"));
+    CHECK(event_at(2).ends_with(" ended"));
+    CHECK(event_at(3).ends_with(" answered"));
+    // The attempts of both callers have the same fingerprint, and another target has another one.
+    CHECK(fingerprints.at(0) == fingerprints.at(1) && fingerprints.at(0) == fingerprints.at(2));
+    CHECK(fingerprints.at(0) != fingerprints.back());
+}
--- a/packages/caller/tests/scripted_upstream.cpp
+++ b/packages/caller/tests/scripted_upstream.cpp
@@ -297,7 +297,10 @@
             body = std::string(parser.get().method_string()) + " " + std::string(parser.get().target()) +
                    " " + m_last_body;
         }
-        if (step == upstream_step::reset_after_running) {
+        if (step == upstream_step::reset_after_running || step == upstream_step::end_while_running) {
+            if (step == upstream_step::end_while_running) {
+                m_acceptor.close(error);
+            }
             reset(socket);
             co_return;
         }
--- a/packages/caller/tests/scripted_upstream.h
+++ b/packages/caller/tests/scripted_upstream.h
@@ -24,6 +24,8 @@
     reset_after_header,
     // Runs the request and resets the connection without a response.
     reset_after_running,
+    // Runs the request, closes the listener and resets the connection, like a process that ends.
+    end_while_running,
     // Runs the request and closes the connection within the body of the response.
     reset_within_body,
     // Like reset_within_body, with a chunked body.
--- a/packages/dispatch/outcome.cpp
+++ b/packages/dispatch/outcome.cpp
@@ -13,7 +13,7 @@
 {
 
 // In the order of the enumeration, so that the value of a failure is the index of its row.
-constexpr std::array<outcome_rule, 44> rules{{
+constexpr std::array<outcome_rule, 45> rules{{
     {failure::malformed_header, outcome::not_run, 400, "malformed-header", false, false},
     {failure::malformed_target, outcome::not_run, 400, "malformed-target", false, false},
     {failure::ambiguous_framing, outcome::not_run, 400, "ambiguous-framing", false, false},
@@ -42,6 +42,7 @@
     {failure::deadline_unreachable, outcome::not_run, 503, "deadline-unreachable", false, false},
     {failure::shift_capped, outcome::not_run, 503, "shift-capped", false, false},
     {failure::stopping, outcome::not_run, 503, "stopping", false, false},
+    {failure::request_quarantined, outcome::not_run, 503, "request-quarantined", false, false},
     {failure::malformed_idempotency_key, outcome::not_run, 400, "malformed-idempotency-key", false, false},
     {failure::duplicate_request, outcome::unknown, 409, "duplicate-request", false, false},
     {failure::claim_unavailable, outcome::not_run, 503, "claim-unavailable", false, false},
--- a/packages/dispatch/outcome.h
+++ b/packages/dispatch/outcome.h
@@ -53,6 +53,8 @@
     shift_capped,
     // This instance is shutting down.
     stopping,
+    // Endpoints have ended while they processed the same request.
+    request_quarantined,
     malformed_idempotency_key,
     duplicate_request,
     // The claim on the Idempotency-Key could not be obtained.
--- a/packages/edge/demand_exchange.cpp
+++ b/packages/edge/demand_exchange.cpp
@@ -167,6 +167,14 @@
         } else if (const confirmation_request_message* question =
                        std::get_if<confirmation_request_message>(&message)) {
             handle_confirmation_request(*question, sender);
+        } else if (const endpoint_end_message* end = std::get_if<endpoint_end_message>(&message)) {
+            if (m_hooks.is_member(end->instance)) {
+                m_hooks.on_endpoint_end(*end);
+            }
+        } else if (const quarantine_message* quarantine = std::get_if<quarantine_message>(&message)) {
+            if (m_hooks.is_member(quarantine->instance)) {
+                m_hooks.on_quarantine(*quarantine);
+            }
         } else {
             m_hooks.on_confirmation(std::get<confirmation_message>(message));
         }
--- a/packages/edge/demand_exchange.h
+++ b/packages/edge/demand_exchange.h
@@ -55,6 +55,9 @@
         std::function<std::optional<store::peer_confirmation>()> confirm_copy;
         // Called for the answer to a question that this instance's confirmation_client sent.
         std::function<void(const confirmation_message&)> on_confirmation;
+        // Called for what a member tells about requests under which endpoints end.
+        std::function<void(const endpoint_end_message&)> on_endpoint_end;
+        std::function<void(const quarantine_message&)> on_quarantine;
     };
 
     // Binds the address, whose host must be numeric. Throws boost::system::system_error if binding fails.
--- a/packages/edge/fleet_membership.cpp
+++ b/packages/edge/fleet_membership.cpp
@@ -278,6 +278,18 @@
     return m_members.contains(instance);
 }
 
+std::vector<instance_record> fleet_membership::others() const
+{
+    const std::lock_guard<std::mutex> guard(m_mutex);
+    std::vector<instance_record> result;
+    for (const auto& [name, entry] : m_members) {
+        if (name != m_options.own_instance) {
+            result.push_back(entry.record);
+        }
+    }
+    return result;
+}
+
 std::uint32_t fleet_membership::size() const
 {
     const std::lock_guard<std::mutex> guard(m_mutex);
--- a/packages/edge/fleet_membership.h
+++ b/packages/edge/fleet_membership.h
@@ -85,6 +85,9 @@
     // period.
     bool is_member(const std::string& instance) const;
 
+    // Returns the records of all members but this instance.
+    std::vector<instance_record> others() const;
+
     // Returns the number of instances, this one included.
     std::uint32_t size() const;
 
--- a/packages/edge/instance.cpp
+++ b/packages/edge/instance.cpp
@@ -87,8 +87,10 @@
       m_reserve(make_quota_options(m_options)),
       m_balancer(
           make_balancer_options(m_options), [this] { return m_membership.view(); }, m_metrics),
+      m_quarantine(m_control_context.get_executor(), m_options.instance, {}, make_quarantine_hooks(),
+                   m_metrics),
       m_rules(
-          make_rule_options(m_options), m_state, m_balancer, m_fleet_quota,
+          make_rule_options(m_options), m_state, m_balancer, m_fleet_quota, m_quarantine,
           [this](std::string workspace) { return request_token(std::move(workspace)); },
           [this](std::string endpoint, double rate) {
               return request_endpoint_token(std::move(endpoint), rate);
@@ -197,6 +199,12 @@
     hooks.on_confirmation = [this](const confirmation_message& answer) {
         m_confirmation_client->handle_answer(answer);
     };
+    hooks.on_endpoint_end = [this](const endpoint_end_message& message) {
+        m_quarantine.handle_end(message, current_time());
+    };
+    hooks.on_quarantine = [this](const quarantine_message& message) {
+        m_quarantine.handle_notice(message, current_time());
+    };
     m_demand_exchange = demand_exchange::create(executor, m_options.instance, m_options.peer_address,
                                                 m_options.demand_interval, std::move(hooks));
     create_peer_clients(executor);
@@ -231,6 +239,19 @@
         std::make_unique<confirmation_client>(executor, m_options.instance, std::move(confirmation_hooks));
 }
 
+quarantine_exchange::hooks instance::make_quarantine_hooks()
+{
+    quarantine_exchange::hooks result;
+    result.coordinators = [this](const std::string& key) {
+        return m_membership.granters(key, current_time());
+    };
+    result.others = [this] { return m_membership.others(); };
+    result.send = [this](const instance_record& target, const std::string& text) {
+        return m_demand_exchange->send(target, text);
+    };
+    return result;
+}
+
 store::watch_mode instance::find_watch_mode() const
 {
     const designated_instance relay = m_membership.find_relay(m_options.region, current_time());
@@ -378,6 +399,7 @@
             m_pool->close_expired(now);
             update_granter_roles(now);
             m_rate_limit_granter.remove_idle(now);
+            m_quarantine.repeat_notices(now);
         }
     }
 }
--- a/packages/edge/instance.h
+++ b/packages/edge/instance.h
@@ -85,6 +85,7 @@
     boost::asio::awaitable<void> run_periodic_tasks();
     boost::asio::awaitable<void> stop();
     instance_record own_record() const;
+    quarantine_exchange::hooks make_quarantine_hooks();
     static balancer_options make_balancer_options(const instance_options& options);
     static request_rule_options make_rule_options(const instance_options& options);
     static quota::quota_options make_quota_options(const instance_options& options);
@@ -103,6 +104,7 @@
     // Used by the control thread only.
     placement::rate_limit_granter m_rate_limit_granter;
     endpoint_balancer m_balancer;
+    quarantine_exchange m_quarantine;
     request_rules m_rules;
     std::shared_ptr<upstream::connection_pool> m_pool;
     std::shared_ptr<store::key_value_store> m_store;
--- a/packages/edge/peer_message.cpp
+++ b/packages/edge/peer_message.cpp
@@ -5,6 +5,8 @@
 #include "codec/json_reader.h"
 
 #include <algorithm>
+#include <array>
+#include <charconv>
 #include <cmath>
 
 namespace quetzalspan::edge
@@ -20,11 +22,16 @@
 constexpr const char* token_answer_method = "token_answer";
 constexpr const char* confirmation_request_method = "confirmation_request";
 constexpr const char* confirmation_method = "confirmation";
+constexpr const char* endpoint_end_method = "endpoint_end";
+constexpr const char* quarantine_method = "quarantine";
 // Longer than any sensible wait for a token.
 constexpr std::uint64_t max_retry_ms = 60'000;
 // Far above the age at which a confirmation is of no use any more.
 constexpr std::uint64_t max_confirmation_age_ms = 60'000;
 
+// Far above the duration of any quarantine.
+constexpr std::uint64_t max_quarantine_ms = 3'600'000;
+
 // Rates are encoded as integers in tenths of a request per second.
 constexpr double rate_steps_per_rps = 10;
 constexpr std::uint64_t max_rate_steps = 1'000'000'000;
@@ -139,8 +146,73 @@
     return result;
 }
 
+// Fingerprints have 64 bits, more than a JSON number keeps.
+constexpr int fingerprint_base = 16;
+
+std::string to_hex(dispatch::request_fingerprint value)
+{
+    std::array<char, 2 * sizeof(value)> digits{};
+    const std::to_chars_result end =
+        std::to_chars(digits.data(), digits.data() + digits.size(), value, fingerprint_base);
+    return {digits.data(), end.ptr};
+}
+
+dispatch::request_fingerprint read_fingerprint(codec::json_reader& in, const Json::Value& params)
+{
+    const std::string text = in.read_string(params, "request", "params");
+    dispatch::request_fingerprint result = 0;
+    const char* end = text.data() + text.size();
+    const std::from_chars_result parsed = std::from_chars(text.data(), end, result, fingerprint_base);
+    if (parsed.ec != std::errc() || parsed.ptr != end) {
+        in.add_error("params.request", "is not a fingerprint");
+    }
+    return result;
+}
+
+endpoint_end_message read_endpoint_end(codec::json_reader& in, const Json::Value& params)
+{
+    endpoint_end_message result;
+    result.instance = in.read_string(params, "instance", "params");
+    result.request = read_fingerprint(in, params);
+    result.endpoint = in.read_string(params, "endpoint", "params");
+    return result;
+}
+
+quarantine_message read_quarantine(codec::json_reader& in, const Json::Value& params)
+{
+    quarantine_message result;
+    result.instance = in.read_string(params, "instance", "params");
+    result.notice.request = read_fingerprint(in, params);
+    result.notice.remaining =
+        std::chrono::milliseconds(in.read_unsigned(params, "remaining_ms", "params", max_quarantine_ms));
+    result.notice.since_first_end =
+        std::chrono::milliseconds(in.read_unsigned(params, "first_end_ms", "params", max_quarantine_ms));
+    return result;
+}
+
 } // namespace
 
+std::string to_text(const endpoint_end_message& message)
+{
+    Json::Value params;
+    params["instance"] = message.instance;
+    params["request"] = to_hex(message.request);
+    params["endpoint"] = message.endpoint;
+    return to_notification(endpoint_end_method, std::move(params));
+}
+
+std::string to_text(const quarantine_message& message)
+{
+    const std::int64_t limit = static_cast<std::int64_t>(max_quarantine_ms);
+    Json::Value params;
+    params["instance"] = message.instance;
+    params["request"] = to_hex(message.notice.request);
+    params["remaining_ms"] = Json::Int64(std::min(core::to_milliseconds(message.notice.remaining), limit));
+    params["first_end_ms"] =
+        Json::Int64(std::min(core::to_milliseconds(message.notice.since_first_end), limit));
+    return to_notification(quarantine_method, std::move(params));
+}
+
 std::string to_text(const confirmation_request_message& message)
 {
     Json::Value params;
@@ -237,6 +309,10 @@
         result = read_confirmation_request(in, params);
     } else if (method == confirmation_method) {
         result = read_confirmation(in, params);
+    } else if (method == endpoint_end_method) {
+        result = read_endpoint_end(in, params);
+    } else if (method == quarantine_method) {
+        result = read_quarantine(in, params);
     } else {
         in.add_error("message.method", "is unknown");
     }
--- a/packages/edge/peer_message.h
+++ b/packages/edge/peer_message.h
@@ -1,11 +1,12 @@
 // The messages between instances: demand reports, which also serve as heartbeats; the sums that a collector
 // returns; requests for tokens of the rate limits of workspaces and endpoints, with their answers; and
-// questions whether a copy of the store is up to date, with their answers. Each is a JSON-RPC notification in
-// a datagram of its own.
+// questions whether a copy of the store is up to date, with their answers; and reports of requests under
+// which endpoints end, with their quarantines. Each is a JSON-RPC notification in a datagram of its own.
 
 #pragma once
 
 #include "core/time.h"
+#include "dispatch/request_quarantine.h"
 #include "quota/demand.h"
 
 #include <set>
@@ -73,9 +74,23 @@
     core::duration age{0};
 };
 
-using peer_message = std::variant<demand_report_message, demand_sums_message, token_request_message,
-                                  endpoint_token_request_message, token_answer_message,
-                                  confirmation_request_message, confirmation_message>;
+// Tells that an endpoint ended while it processed a request.
+struct endpoint_end_message {
+    std::string instance;
+    dispatch::request_fingerprint request = 0;
+    std::string endpoint;
+};
+
+// Tells that a request must not be sent to endpoints any more, or that it may be sent again.
+struct quarantine_message {
+    std::string instance;
+    dispatch::quarantine_notice notice;
+};
+
+using peer_message =
+    std::variant<demand_report_message, demand_sums_message, token_request_message,
+                 endpoint_token_request_message, token_answer_message, confirmation_request_message,
+                 confirmation_message, endpoint_end_message, quarantine_message>;
 
 // Return the message as the JSON text of a datagram.
 std::string to_text(const demand_report_message& message);
@@ -85,6 +100,8 @@
 std::string to_text(const token_answer_message& message);
 std::string to_text(const confirmation_request_message& message);
 std::string to_text(const confirmation_message& message);
+std::string to_text(const endpoint_end_message& message);
+std::string to_text(const quarantine_message& message);
 
 // Parses a datagram; the source names the sender in errors. Throws core::findings_error if the text is not a
 // valid message.
--- a/packages/edge/request_rules.cpp
+++ b/packages/edge/request_rules.cpp
@@ -61,12 +61,14 @@
 
 request_rules::request_rules(request_rule_options options, const traffic_state& state,
                              endpoint_balancer& balancer, quota::fleet_quota& fleet_quota,
-                             token_hook request_token, endpoint_token_hook request_endpoint_token,
+                             quarantine_exchange& quarantine, token_hook request_token,
+                             endpoint_token_hook request_endpoint_token,
                              std::function<std::uint32_t()> fleet_size, burn::metrics_registry& metrics)
     : m_options(options),
       m_state(state),
       m_balancer(balancer),
       m_fleet_quota(fleet_quota),
+      m_quarantine(quarantine),
       m_request_token(std::move(request_token)),
       m_request_endpoint_token(std::move(request_endpoint_token)),
       m_fleet_size(std::move(fleet_size)),
@@ -110,6 +112,10 @@
     result.grant_retry = [this](const request_summary& request, const admission& admitted,
                                 const dispatch::attempt_state& state, failure at,
                                 core::instant now) { return may_retry(admitted, request, state, at, now); };
+    result.on_attempt_finished = [this](const request_summary& request, const std::string& endpoint,
+                                        const caller::attempt_result& attempt) {
+        record_attempt(request, endpoint, attempt);
+    };
     result.on_finished = [this](const caller::request_record& record) { finish(record); };
     result.on_message_rejected = [this](failure at, std::string_view peer) {
         m_malformed.add();
@@ -245,6 +251,9 @@
                                                              const admission& admitted,
                                                              const std::vector<std::string>& tried)
 {
+    if (const std::optional<rejection> quarantined = check_quarantine(request)) {
+        co_return *quarantined;
+    }
     const request_context& context = get_context(admitted);
     attempt_request attempt;
     attempt.request_id = request.request_id;
@@ -274,6 +283,24 @@
     }
 }
 
+std::optional<rejection> request_rules::check_quarantine(const request_summary& request) const
+{
+    const std::optional<core::duration> remaining =
+        m_quarantine.find_remaining(request.fingerprint, current_time());
+    return remaining ? std::optional<rejection>({failure::request_quarantined, *remaining}) : std::nullopt;
+}
+
+void request_rules::record_attempt(const request_summary& request, const std::string& endpoint,
+                                   const caller::attempt_result& result)
+{
+    const core::instant now = current_time();
+    if (result.has_endpoint_ended) {
+        m_quarantine.record_end(request.fingerprint, endpoint, request.request_id, request.target, now);
+    } else if (!result.failure) {
+        m_quarantine.record_success(request.fingerprint, now);
+    }
+}
+
 std::optional<rejection> request_rules::recheck(const request_summary& request,
                                                 const admission& admitted) const
 {
--- a/packages/edge/request_rules.h
+++ b/packages/edge/request_rules.h
@@ -9,6 +9,7 @@
 #include "dispatch/retry_budget.h"
 #include "edge/endpoint_balancer.h"
 #include "edge/instance_options.h"
+#include "edge/quarantine_exchange.h"
 #include "edge/traffic_state.h"
 #include "quota/fleet_quota.h"
 #include "routing/traffic_split.h"
@@ -65,7 +66,7 @@
         std::string endpoint, double rate)>;
 
     request_rules(request_rule_options options, const traffic_state& state, endpoint_balancer& balancer,
-                  quota::fleet_quota& fleet_quota, token_hook request_token,
+                  quota::fleet_quota& fleet_quota, quarantine_exchange& quarantine, token_hook request_token,
                   endpoint_token_hook request_endpoint_token, std::function<std::uint32_t()> fleet_size,
                   burn::metrics_registry& metrics);
 
@@ -92,6 +93,10 @@
                                                          const std::vector<std::string>& tried);
     std::optional<caller::rejection> recheck(const caller::request_summary& request,
                                              const caller::admission& admitted) const;
+    // Returns a rejection if endpoints have ended under the same request.
+    std::optional<caller::rejection> check_quarantine(const caller::request_summary& request) const;
+    void record_attempt(const caller::request_summary& request, const std::string& endpoint,
+                        const caller::attempt_result& result);
     bool may_retry(const caller::admission& admitted, const caller::request_summary& request,
                    const dispatch::attempt_state& state, dispatch::failure at, core::instant now);
     void finish(const caller::request_record& record);
@@ -101,6 +106,7 @@
     const traffic_state& m_state;
     endpoint_balancer& m_balancer;
     quota::fleet_quota& m_fleet_quota;
+    quarantine_exchange& m_quarantine;
     token_hook m_request_token;
     endpoint_token_hook m_request_endpoint_token;
     std::function<std::uint32_t()> m_fleet_size;
--- a/packages/edge/tests/request_rules_test.cpp
+++ b/packages/edge/tests/request_rules_test.cpp
@@ -29,6 +29,9 @@
     traffic_state state;
     quota::fleet_quota limits{{}};
     endpoint_balancer balancer{{}, [] { return placement::fleet_view{1, {1}, 1}; }, metrics};
+    boost::asio::io_context control_context;
+    quarantine_exchange quarantine{
+        control_context.get_executor(), "own", {}, make_quarantine_hooks(), metrics};
     request_rule_options options;
     std::unique_ptr<request_rules> rules;
     caller::proxy_hooks hooks;
@@ -41,11 +44,18 @@
         options.retry_budget_fraction = 0.2;
         options.retry_budget_slack = 10;
         rules = std::make_unique<request_rules>(
-            options, state, balancer, limits, [this](std::string) { return answer_token(); },
+            options, state, balancer, limits, quarantine, [this](std::string) { return answer_token(); },
             [this](std::string, double) { return answer_endpoint_token(); }, [] { return 2U; }, metrics);
         hooks = rules->hooks();
     }
 
+    static quarantine_exchange::hooks make_quarantine_hooks()
+    {
+        return {[](const std::string&) { return std::vector<std::optional<instance_record>>{std::nullopt}; },
+                [] { return std::vector<instance_record>(); },
+                [](const instance_record&, const std::string&) { return true; }};
+    }
+
     static routing::configuration make_configuration(std::uint64_t version)
     {
         routing::route keyed;
@@ -295,6 +305,51 @@
     CHECK_TRUE(is_admitted());
 }
 
+// Guards against a request that ends the endpoints that process it and is sent to further ones, by the
+// retries of the instance and of callers, each with an identifier of its own.
+TEST(request_rules, a_request_under_which_endpoints_have_ended_is_rejected_at_once)
+{
+    configure(make_configuration(1), seconds(0));
+    placement::endpoint_record record;
+    record.id = "third";
+    record.service = "orders";
+    record.host = "127.0.0.1";
+    record.port = 9;
+    record.region = "savo";
+    balancer.apply(record, true, start);
+    const caller::admission admitted = admit("/open/a");
+    caller::request_summary wanted = request("/open/a");
+    wanted.fingerprint = 7;
+    const std::function<std::optional<caller::rejection>()> try_acquire = [&] {
+        boost::asio::io_context context;
+        caller::wait_context wait;
+        std::optional<caller::lease_result> acquired;
+        boost::asio::co_spawn(
+            context,
+            [&]() -> boost::asio::awaitable<void> {
+                acquired.emplace(co_await hooks.acquire_endpoint(wanted, admitted, {}, wait));
+            },
+            boost::asio::detached);
+        context.run();
+        const caller::rejection* rejected = std::get_if<caller::rejection>(&*acquired);
+        return rejected == nullptr ? std::nullopt : std::optional<caller::rejection>(*rejected);
+    };
+    caller::attempt_result ended;
+    ended.failure = dispatch::failure::response_lost;
+    ended.has_endpoint_ended = true;
+    hooks.on_attempt_finished(wanted, "first", ended);
+    CHECK_FALSE(try_acquire().has_value());
+    hooks.on_attempt_finished(wanted, "second", ended);
+    wanted.request_id = "another";
+    const std::optional<caller::rejection> rejected = try_acquire();
+    CHECK_TRUE(rejected.has_value());
+    CHECK(rejected->failure == dispatch::failure::request_quarantined);
+    CHECK(rejected->retry_after > seconds(50));
+    CHECK_EQUAL(503U, dispatch::outcome_rule_for(rejected->failure).status);
+    wanted.fingerprint = 8;
+    CHECK_FALSE(try_acquire().has_value());
+}
+
 // Guards against an endpoint that has named a limit and receives requests without a token, and against a
 // request that is rejected although another endpoint takes it.
 TEST(request_rules, an_endpoint_with_a_limit_receives_only_requests_with_a_token)
