Caller: Promise nothing when a sent upload stalls

What callers saw: a booking whose upload stalled for 10 s was answered 408 although an endpoint had begun it.

Cause: the fault of the body decides the status, 408. The outcome was known to be unknown, but the status was changed for requests that had not run only, from 502 to 503, and never in the other direction.

Change: where statuses are promises, 408, 421, 429 and 503 become 502 unless the request has certainly not run.

The test messages.a_stalled_upload_of_a_request_that_was_sent_promises_nothing failed before.

--- a/packages/caller/generated_response.cpp
+++ b/packages/caller/generated_response.cpp
@@ -4,6 +4,9 @@
 
 #include "caller/message_text.h"
 
+#include <algorithm>
+#include <array>
+
 namespace quetzalspan::caller
 {
 
@@ -42,6 +45,13 @@
     return std::to_string(milliseconds / 1000) + "." + fraction.substr(1);
 }
 
+// Returns whether callers take the status for a promise that the request has not run, and repeat it.
+bool promises_not_run(unsigned status)
+{
+    constexpr std::array<unsigned, 4> promises{408, 421, 429, 503};
+    return std::find(promises.begin(), promises.end(), status) != promises.end();
+}
+
 } // namespace
 
 unsigned compute_rejection_status(const rejection& cause, dispatch::outcome result,
@@ -50,8 +60,14 @@
     constexpr unsigned bad_gateway = 502;
     constexpr unsigned service_unavailable = 503;
     const unsigned status = dispatch::outcome_rule_for(cause.failure).status;
-    const bool is_stated_not_run = profile.does_503_mean_not_run && result == dispatch::outcome::not_run;
-    return status == bad_gateway && is_stated_not_run ? service_unavailable : status;
+    if (!profile.does_503_mean_not_run) {
+        return status;
+    }
+    if (result == dispatch::outcome::not_run) {
+        return status == bad_gateway ? service_unavailable : status;
+    }
+    // An endpoint may have begun a request whose body then stalls.
+    return promises_not_run(status) ? bad_gateway : status;
 }
 
 std::string make_rejection_text(const rejection& cause, dispatch::outcome result, std::string_view request_id,
--- a/packages/caller/tests/message_test.cpp
+++ b/packages/caller/tests/message_test.cpp
@@ -132,6 +132,22 @@
     LONGS_EQUAL(0, fixture.first->executions());
 }
 
+// Guards against 408 for a booking that an endpoint has begun when its upload stalls: callers take that status for
+// the promise that it has not run, and book again.
+TEST(messages, a_stalled_upload_of_a_request_that_was_sent_promises_nothing)
+{
+    fixture.options.profile.does_503_mean_not_run = true;
+    fixture.options.body_idle_timeout = std::chrono::milliseconds(30);
+    fixture.options.replay_limit_bytes = 16;
+    fixture.start();
+    raw_caller caller(fixture.server->port());
+    caller.send("POST /orders HTTP/1.1\r\nHost: a\r\nContent-Length: 1000\r\n\r\npart of the body");
+    LONGS_EQUAL(502, parse_status(caller.receive_response()));
+    const std::vector<finished_request> records = fixture.wait_for_finished(1);
+    CHECK(records.back().failure == dispatch::failure::body_timeout);
+    CHECK(records.back().outcome == dispatch::outcome::unknown);
+}
+
 // Guards against responses in the wrong order when requests are sent without waiting for responses.
 TEST(messages, pipelined_requests_are_answered_in_order)
 {
