Upstream: Reset connections whose request is given up

Cause: a connection on which a request was written and not answered was closed in the ordinary way. The kernel then goes on sending the request until it is acknowledged.

Change: such a connection is reset, which drops the bytes that were not delivered. One with a complete response is closed as before.

--- a/packages/caller/tests/message_test.cpp
+++ b/packages/caller/tests/message_test.cpp
@@ -132,8 +132,8 @@
     LONGS_EQUAL(0, fixture.first->executions());
 }
 
-// Guards against 408 for a booking that an endpoint has begun when its upload stalls: callers take that status for
-// the promise that it has not run, and book again.
+// Guards against 408 for a booking that an endpoint has begun when its upload stalls: callers take that
+// status for the promise that it has not run, and book again.
 TEST(messages, a_stalled_upload_of_a_request_that_was_sent_promises_nothing)
 {
     fixture.options.profile.does_503_mean_not_run = true;
--- a/packages/dispatch/message_profile.h
+++ b/packages/dispatch/message_profile.h
@@ -53,8 +53,8 @@
     bool is_request_id_echoed = false;
     // Whether Retry-After is written in seconds with a fraction instead of whole seconds.
     bool has_fractional_retry_after = false;
-    // Whether callers take status 503, and likewise 408, 421 and 429, as the guarantee that the request was not
-    // run, and 502 as leaving that open.
+    // Whether callers take status 503, and likewise 408, 421 and 429, as the guarantee that the request was
+    // not run, and 502 as leaving that open.
     bool does_503_mean_not_run = false;
 };
 
--- a/packages/upstream/forwarder.cpp
+++ b/packages/upstream/forwarder.cpp
@@ -53,14 +53,26 @@
     m_deadline->clear();
     m_deadline->set_expiry_handler(nullptr);
     if (m_connection) {
+        abort_unanswered();
         m_pool.discard(m_address, std::move(m_connection));
     }
 }
 
+void forwarder::abort_unanswered()
+{
+    if (m_has_written && !m_is_response_complete) {
+        // After an ordinary close, the kernel would go on sending the request until it is acknowledged, so
+        // that one held up by a network partition ran long after it was given up.
+        boost::system::error_code ignored;
+        m_connection->socket().set_option(asio::socket_base::linger(true, 0), ignored);
+    }
+}
+
 void forwarder::close()
 {
     m_is_usable = false;
     if (m_connection) {
+        abort_unanswered();
         boost::system::error_code ignored;
         m_connection->socket().close(ignored);
     }
@@ -179,6 +191,7 @@
     if (may_reuse) {
         m_pool.put_idle(m_address, std::move(m_connection), now);
     } else {
+        abort_unanswered();
         m_pool.discard(m_address, std::move(m_connection));
     }
 }
--- a/packages/upstream/forwarder.h
+++ b/packages/upstream/forwarder.h
@@ -112,6 +112,8 @@
 
 private:
     void close();
+    // Makes the close of the connection a reset if a request on it has no complete response.
+    void abort_unanswered();
     // Returns the failure of a step in which the connection failed before the response header was complete.
     forward_failure determine_failure() const;
 
--- a/packages/upstream/tests/upstream_test.cpp
+++ b/packages/upstream/tests/upstream_test.cpp
@@ -196,6 +196,25 @@
     LONGS_EQUAL(0, pool->open_connections(address));
 }
 
+// Guards against a request that runs long after it was given up, because its bytes were held up by a network
+// partition and an ordinary close lets the kernel go on sending them: endpoints that had left got it.
+TEST(upstream, a_request_that_is_given_up_is_reset)
+{
+    const std::function<boost::system::error_code()> read_to_end = [this] {
+        std::array<char, 64> memory{};
+        boost::system::error_code error;
+        while (!error) {
+            peers.back()->read_some(asio::buffer(memory), error);
+        }
+        return error;
+    };
+    exchange_once("HTTP/1.1 200", false, std::chrono::milliseconds(20));
+    CHECK(read_to_end() == asio::error::connection_reset);
+    // A connection with a complete response is closed in the ordinary way.
+    exchange_once("HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 2\r\n\r\nok", false);
+    CHECK(read_to_end() == asio::error::eof);
+}
+
 // Guards against a refused connection that is reported as a request of unknown outcome.
 TEST(upstream, refused_connection_is_reported)
 {
