Edge: Do not take a failing relay for an outage of the store

Cause: since outages are measured by the completeness of the copy, with a margin of 0.4 s, the limit was 1.65 s. An instance whose relay fails is without knowledge of the store for up to 1.7 s, while the store is in order. It would then have kept endpoints for the grace period of an outage after their removal.

The test store_watcher.a_relay_that_fails_is_no_outage_of_the_store fails with 0.4 s.

--- a/packages/edge/store_watcher.cpp
+++ b/packages/edge/store_watcher.cpp
@@ -15,8 +15,8 @@
 {
 
 // A time without knowledge of the store that exceeds the interval of watches by more than this counts as an
-// outage.
-constexpr core::duration outage_margin = std::chrono::milliseconds(400);
+// outage. An instance whose relay fails is without it for up to 1.7 s, in which no lease expires.
+constexpr core::duration outage_margin = std::chrono::milliseconds(900);
 
 // Time after a restore of the store within which operators, endpoints and instances have written again what
 // the store has lost, and leases of instances that have ended since its copy was made have expired.
