--- a/packages/dispatch/request_quarantine.h
+++ b/packages/dispatch/request_quarantine.h
@@ -47,8 +47,8 @@
     core::duration since_first_end{0};
 };
 
+// What the end of an endpoint has changed for a request.
 enum class quarantine_change {
-    none,
     // The request is suspected; too few endpoints have ended yet.
     suspected,
     // The quarantine has begun.
@@ -94,7 +94,7 @@
         std::map<std::string, core::instant> ends;
         core::instant first_end;
         core::instant last_end;
-        // No earlier than now while the request is in quarantine.
+        // In the future while the request is in quarantine.
         core::instant quarantined_until;
         std::uint32_t quarantine_count = 0;
     };
--- a/packages/edge/quarantine_exchange.h
+++ b/packages/edge/quarantine_exchange.h
@@ -83,6 +83,7 @@
     burn::counter& m_begun;
     burn::counter& m_lifted;
     core::log_throttle m_end_lines;
+    // When repeat_notices() last sent them.
     core::instant m_repeated_at;
 };
 
