--- a/packages/edge/tests/store_watcher_test.cpp
+++ b/packages/edge/tests/store_watcher_test.cpp
@@ -127,6 +127,29 @@
         return !std::holds_alternative<caller::rejection>(balancer.acquire(wanted, now));
     }
 
+    // Lets a relay confirm the copy twice, with the given time between what it knew. Returns whether an
+    // endpoint that is removed then is dropped at once.
+    bool is_removed_at_once_after(core::duration gap)
+    {
+        mode = store::watch_mode::asking;
+        test_store->put("operators/configuration", "3");
+        for (const char* key : {"endpoints/e1", "endpoints/e2", "endpoints/e3"}) {
+            test_store->put(key, "");
+        }
+        watcher.start();
+        CHECK_TRUE(run_until([this] { return watcher.has_listed() && balancer.size() == 3; }));
+        const core::boot_instant first = core::boot_clock::now() + seconds(1);
+        for (const core::boot_instant as_of : {first, first + gap}) {
+            peer_answer = store::peer_confirmation{0, watcher.confirmation()->revision, as_of};
+            CHECK_TRUE(run_until([&] { return state.age(as_of) == core::boot_clock::duration(0); }));
+        }
+        test_store->remove("endpoints/e1");
+        test_store->put("operators/configuration", "4");
+        peer_answer.reset();
+        CHECK_TRUE(run_until([this] { return state.table()->version() == 4; }));
+        return !balancer.knows("e1");
+    }
+
     void teardown() override
     {
         watcher.stop();
@@ -373,50 +396,15 @@
 // a part of it: endpoints whose records had expired were removed before they could write them again.
 TEST(store_watcher, an_outage_is_measured_from_what_the_relay_knew)
 {
-    mode = store::watch_mode::asking;
-    test_store->put("operators/configuration", "3");
-    for (const char* key : {"endpoints/e1", "endpoints/e2", "endpoints/e3"}) {
-        test_store->put(key, "");
-    }
-    watcher.start();
-    CHECK_TRUE(run_until([this] { return watcher.has_listed() && balancer.size() == 3; }));
-    const core::boot_instant before_outage = core::boot_clock::now() + seconds(1);
-    peer_answer = store::peer_confirmation{0, watcher.confirmation()->revision, before_outage};
-    CHECK_TRUE(run_until([&] { return state.age(before_outage) == core::boot_clock::duration(0); }));
-    const core::boot_instant after_outage = before_outage + milliseconds(2500);
-    peer_answer->as_of = after_outage;
-    CHECK_TRUE(run_until([&] { return state.age(after_outage) == core::boot_clock::duration(0); }));
-    test_store->remove("endpoints/e1");
-    test_store->put("operators/configuration", "4");
-    peer_answer.reset();
-    CHECK_TRUE(run_until([this] { return state.table()->version() == 4; }));
-    CHECK_TRUE(balancer.knows("e1"));
+    CHECK_FALSE(is_removed_at_once_after(milliseconds(2500)));
 }
 
 // Guards against a removed endpoint that is kept for the grace period of an outage because a relay has
 // failed: the instance was without knowledge of the store for 1.7 s, and the store was in order.
 TEST(store_watcher, a_relay_that_fails_is_no_outage_of_the_store)
 {
-    mode = store::watch_mode::asking;
-    test_store->put("operators/configuration", "3");
-    for (const char* key : {"endpoints/e1", "endpoints/e2", "endpoints/e3"}) {
-        test_store->put(key, "");
-    }
-    watcher.start();
-    CHECK_TRUE(run_until([this] { return watcher.has_listed() && balancer.size() == 3; }));
-    const core::boot_instant known = core::boot_clock::now() + seconds(1);
-    peer_answer = store::peer_confirmation{0, watcher.confirmation()->revision, known};
-    CHECK_TRUE(run_until([&] { return state.age(known) == core::boot_clock::duration(0); }));
     // The watches of these tests do not pause, so the interval is shorter by the usual pause.
-    const core::duration usual_pause = instance_options().store_watch_pause;
-    const core::boot_instant known_again = known + milliseconds(1700) - usual_pause;
-    peer_answer->as_of = known_again;
-    CHECK_TRUE(run_until([&] { return state.age(known_again) == core::boot_clock::duration(0); }));
-    test_store->remove("endpoints/e1");
-    test_store->put("operators/configuration", "4");
-    peer_answer.reset();
-    CHECK_TRUE(run_until([this] { return state.table()->version() == 4; }));
-    CHECK_FALSE(balancer.knows("e1"));
+    CHECK_TRUE(is_removed_at_once_after(milliseconds(1700) - instance_options().store_watch_pause));
 }
 
 // Guards against an instance that follows a change too late because its relay has lost the store: with a
