Edge: Log the connection of attempts that endpoints refuse

The hypotheses about refused requests that have run could not be told apart: no line said which connection an attempt used, whether earlier requests had used it, and what the instance made of an endpoint's refusal.

Each refused attempt now has a line attempt_refused, at most 10 a second. The list of statuses that callers take for the guarantee 'not run' moves to the outcome table, where both users find it.

--- a/packages/caller/generated_response.cpp
+++ b/packages/caller/generated_response.cpp
@@ -5,7 +5,6 @@
 #include "caller/message_text.h"
 
 #include <algorithm>
-#include <array>
 
 namespace quetzalspan::caller
 {
@@ -45,13 +44,6 @@
     return std::to_string(milliseconds / 1000) + "." + fraction.substr(1);
 }
 
-// Returns whether callers take the status for a promise that the request has not run, and repeat it.
-bool promises_not_run(unsigned status)
-{
-    constexpr std::array<unsigned, 4> promises{408, 421, 429, 503};
-    return std::find(promises.begin(), promises.end(), status) != promises.end();
-}
-
 } // namespace
 
 unsigned compute_rejection_status(const rejection& cause, dispatch::outcome result,
@@ -67,7 +59,7 @@
         return status == bad_gateway ? service_unavailable : status;
     }
     // An endpoint may have begun a request whose body then stalls.
-    return promises_not_run(status) ? bad_gateway : status;
+    return dispatch::is_not_run_status(status) ? bad_gateway : status;
 }
 
 std::string make_rejection_text(const rejection& cause, dispatch::outcome result, std::string_view request_id,
--- a/packages/caller/request_exchange.cpp
+++ b/packages/caller/request_exchange.cpp
@@ -397,6 +397,8 @@
     if (open_failure) {
         co_return failure_for(*open_failure);
     }
+    result.connection_number = exchange.connection_number();
+    result.is_connection_reused = exchange.is_reused();
     if (m_context.hooks.recheck_authorization) {
         const std::optional<rejection> cause =
             m_context.hooks.recheck_authorization(m_summary, m_admission, current_time());
--- a/packages/dispatch/outcome.cpp
+++ b/packages/dispatch/outcome.cpp
@@ -4,6 +4,7 @@
 
 #include "core/check.h"
 
+#include <algorithm>
 #include <array>
 
 namespace quetzalspan::dispatch
@@ -90,6 +91,12 @@
     return is_idempotent ? rule.may_retry_idempotent : rule.may_retry_non_idempotent;
 }
 
+bool is_not_run_status(unsigned status)
+{
+    constexpr std::array<unsigned, 4> guarantees{408, 421, 429, 503};
+    return std::find(guarantees.begin(), guarantees.end(), status) != guarantees.end();
+}
+
 bool is_idempotent_method(std::string_view method)
 {
     constexpr std::array<std::string_view, 6> idempotent{"GET", "HEAD", "PUT", "DELETE", "OPTIONS", "TRACE"};
--- a/packages/dispatch/outcome.h
+++ b/packages/dispatch/outcome.h
@@ -105,6 +105,10 @@
 // its method is not idempotent, is only retried if it certainly was not run.
 bool allows_retry(failure cause, bool is_idempotent);
 
+// Returns whether callers of a deployment whose statuses are guarantees take the status for the guarantee that
+// the request was not run: 408, 421, 429 or 503.
+bool is_not_run_status(unsigned status);
+
 // Returns whether executing the method several times has the same effect as executing it once (RFC
 // 9110, 9.2.2).
 bool is_idempotent_method(std::string_view method);
--- a/packages/edge/request_rules.cpp
+++ b/packages/edge/request_rules.cpp
@@ -22,6 +22,9 @@
 namespace
 {
 
+// Under overload most refusals are alike, and the lines of retries and requests tell their number.
+constexpr double refusal_lines_per_second = 10;
+
 constexpr std::size_t failure_count = static_cast<std::size_t>(failure::internal_error) + 1;
 
 // State of an admitted request that later hooks use. The table owns what the pointers to the route, workspace
@@ -85,7 +88,8 @@
       m_latency(metrics.get_summary("request_seconds", "Time from the header of a request to its end.")),
       m_request_lines(options.log_lines_per_second),
       m_rejection_lines(options.log_lines_per_second),
-      m_retry_lines(options.log_lines_per_second)
+      m_retry_lines(options.log_lines_per_second),
+      m_refusal_lines(refusal_lines_per_second)
 {
     for (std::size_t index = 0; index < failure_count; ++index) {
         const std::string reason(dispatch::outcome_rule_for(static_cast<failure>(index)).reason);
@@ -294,6 +298,7 @@
                                    const caller::attempt_result& result)
 {
     const core::instant now = current_time();
+    log_refusal(request, endpoint, result, now);
     if (result.has_endpoint_ended) {
         m_quarantine.record_end(request.fingerprint, endpoint, request.request_id, request.target, now);
     } else if (!result.failure) {
@@ -301,6 +306,28 @@
     }
 }
 
+void request_rules::log_refusal(const request_summary& request, const std::string& endpoint,
+                                const caller::attempt_result& result, core::instant now)
+{
+    if (!dispatch::is_not_run_status(result.status) && result.failure != failure::upstream_shed) {
+        return;
+    }
+    const std::optional<std::uint64_t> skipped = m_refusal_lines.try_take(now);
+    if (!skipped) {
+        return;
+    }
+    core::info_event("attempt_refused")
+        .with("request_id", request.request_id)
+        .with("endpoint", endpoint)
+        .with("status", result.status)
+        .with("reason", result.failure ? dispatch::outcome_rule_for(*result.failure).reason : "relayed")
+        .with("repeatable", request.is_idempotent)
+        .with("connection", result.connection_number)
+        .with("reused", result.is_connection_reused)
+        .with("attempt_ms", core::to_milliseconds(result.total_time))
+        .with("lines_skipped", *skipped);
+}
+
 std::optional<rejection> request_rules::recheck(const request_summary& request,
                                                 const admission& admitted) const
 {
--- a/packages/edge/request_rules.h
+++ b/packages/edge/request_rules.h
@@ -97,6 +97,9 @@
     std::optional<caller::rejection> check_quarantine(const caller::request_summary& request) const;
     void record_attempt(const caller::request_summary& request, const std::string& endpoint,
                         const caller::attempt_result& result);
+    // Logs that an endpoint answered an attempt with a status that may tell the caller that it was not run.
+    void log_refusal(const caller::request_summary& request, const std::string& endpoint,
+                     const caller::attempt_result& result, core::instant now);
     bool may_retry(const caller::admission& admitted, const caller::request_summary& request,
                    const dispatch::attempt_state& state, dispatch::failure at, core::instant now);
     void finish(const caller::request_record& record);
@@ -125,6 +128,7 @@
     core::log_throttle m_request_lines;
     core::log_throttle m_rejection_lines;
     core::log_throttle m_retry_lines;
+    core::log_throttle m_refusal_lines;
     std::mutex m_mutex;
     // By service. m_mutex protects the map; the budgets themselves are thread-safe.
     std::map<std::string, std::unique_ptr<dispatch::retry_budget>> m_budgets;
--- a/packages/upstream/connection_pool.cpp
+++ b/packages/upstream/connection_pool.cpp
@@ -12,8 +12,11 @@
 namespace asio = boost::asio;
 using tcp = asio::ip::tcp;
 
-connection::connection(const asio::any_io_executor& executor, std::uint32_t header_limit_bytes)
-    : m_socket(executor), m_reader(header_limit_bytes, std::numeric_limits<std::uint64_t>::max())
+connection::connection(const asio::any_io_executor& executor, std::uint64_t number,
+                       std::uint32_t header_limit_bytes)
+    : m_number(number),
+      m_socket(executor),
+      m_reader(header_limit_bytes, std::numeric_limits<std::uint64_t>::max())
 {
 }
 
@@ -70,8 +73,8 @@
         }
         ++state.open_count;
     }
-    m_created.fetch_add(1, std::memory_order_relaxed);
-    return std::make_unique<connection>(m_executor, m_options.header_limit_bytes);
+    const std::uint64_t number = m_created.fetch_add(1, std::memory_order_relaxed) + 1;
+    return std::make_unique<connection>(m_executor, number, m_options.header_limit_bytes);
 }
 
 void connection_pool::put_idle(const tcp::endpoint& address, std::unique_ptr<connection> used,
--- a/packages/upstream/connection_pool.h
+++ b/packages/upstream/connection_pool.h
@@ -36,8 +36,11 @@
 class connection
 {
 public:
-    connection(const boost::asio::any_io_executor& executor, std::uint32_t header_limit_bytes);
+    connection(const boost::asio::any_io_executor& executor, std::uint64_t number,
+               std::uint32_t header_limit_bytes);
 
+    // Returns the number that the pool gave to this connection alone, from 1.
+    std::uint64_t number() const { return m_number; }
     boost::asio::ip::tcp::socket& socket() { return m_socket; }
     message_reader<false>& reader() { return m_reader; }
 
@@ -49,6 +52,7 @@
     bool is_reusable();
 
 private:
+    std::uint64_t m_number;
     boost::asio::ip::tcp::socket m_socket;
     message_reader<false> m_reader;
 };
--- a/packages/upstream/forwarder.h
+++ b/packages/upstream/forwarder.h
@@ -107,6 +107,8 @@
     bool has_buffered_body() const { return m_connection->reader().has_unread_bytes(); }
     // Returns whether the connection was an idle one of the pool.
     bool is_reused() const { return m_is_reused; }
+    // Returns the number of the connection; valid after open() succeeded and until finish().
+    std::uint64_t connection_number() const { return m_connection->number(); }
     // Returns whether at least one byte of the request may have reached the upstream.
     bool has_written() const { return m_has_written; }
 
