Caller: Add failing tests of refusals that promise too much

On this code an endpoint's 408, 429 and 503 that do not state 'not run' reach the caller as they are, and a refusal that an endpoint writes a second time is taken for the response to the next attempt on the same connection: the caller gets 503 while the endpoint runs the request. A connection whose response could not be verified is kept, although the endpoint may still be running the request.

--- a/packages/caller/tests/checked_response_test.cpp
+++ b/packages/caller/tests/checked_response_test.cpp
@@ -54,6 +54,26 @@
                                            "Quetzal-Request-Id: own\r\nX-Workspace: forged\r\n"));
     }
 
+    // Sends a request that may run once. The upstream refuses its first attempt with the step and runs the
+    // second one, which goes to the same address. Returns the status of the response.
+    int exchange_after_refusal(upstream_step refusal)
+    {
+        is_repeatable = false;
+        proxy.hooks.acquire_endpoint =
+            [this](const caller::request_summary&, const caller::admission&,
+                   const std::vector<std::string>& tried,
+                   caller::wait_context&) -> boost::asio::awaitable<caller::lease_result> {
+            ++proxy.open_leases;
+            // The entry of an endpoint that is gone has the address of a live one.
+            co_return caller::endpoint_lease::create(
+                tried.empty() ? "gone" : "live", "127.0.0.1", proxy.first->port(),
+                [this](const caller::attempt_result&) { --proxy.open_leases; });
+        };
+        proxy.first->set_script({refusal, upstream_step::answer_signed});
+        start();
+        return parse_status(exchange("POST"));
+    }
+
     std::uint32_t executions() const
     {
         return proxy.first->executions() + proxy.second->executions();
@@ -207,3 +227,47 @@
     CHECK_EQUAL(502, parse_status(exchange("POST")));
     CHECK_EQUAL(1U, executions());
 }
+
+// Guards against passing on an endpoint's refusal that does not state that the request was not run: the caller
+// took its status for the guarantee, and repeated a request that had run.
+TEST(checked_response, a_refusal_that_does_not_state_not_run_promises_nothing)
+{
+    is_repeatable = false;
+    start();
+    std::uint32_t expected_executions = 0;
+    for (const upstream_step step : {upstream_step::unstated_408, upstream_step::unstated_429,
+                                     upstream_step::unstated_503, upstream_step::unstated_503_without_id}) {
+        proxy.first->set_script({step});
+        const std::string response = exchange("POST");
+        CHECK_EQUAL(502, parse_status(response));
+        CHECK_FALSE(contains(response, "X-Signature"));
+        CHECK_EQUAL(++expected_executions, executions());
+    }
+}
+
+// Guards against taking the repeated refusal of an earlier attempt for the response to a later attempt on the
+// same connection: the caller was told that the request had not run while the endpoint ran it.
+TEST(checked_response, a_repeated_misdirection_is_not_taken_for_the_next_response)
+{
+    CHECK_EQUAL(200, exchange_after_refusal(upstream_step::misdirected_twice));
+    CHECK_EQUAL(1U, executions());
+}
+
+// Guards against the same confusion after an endpoint has shed the earlier attempt.
+TEST(checked_response, a_repeated_shed_response_is_not_taken_for_the_next_response)
+{
+    CHECK_EQUAL(200, exchange_after_refusal(upstream_step::shed_twice));
+    CHECK_EQUAL(1U, executions());
+}
+
+// Guards against keeping a connection on which the response to a request was not recognized: the endpoint may
+// still be running that request, and the next one would wait behind it.
+TEST(checked_response, a_connection_without_a_verified_response_is_not_kept)
+{
+    is_repeatable = false;
+    proxy.first->set_script({upstream_step::answer, upstream_step::answer_signed});
+    start();
+    CHECK_EQUAL(502, parse_status(exchange("POST")));
+    CHECK_EQUAL(200, parse_status(exchange("POST")));
+    CHECK_EQUAL(2U, proxy.first->accepted());
+}
--- a/packages/caller/tests/scripted_upstream.cpp
+++ b/packages/caller/tests/scripted_upstream.cpp
@@ -60,6 +60,20 @@
                "5\r\n\r\nalien"
                "HTTP/1.1 200 OK\r\nX-Signature: s\r\nQuetzal-Request-Id: own\r\n" +
                length;
+    case upstream_step::answer_signed:
+        return "HTTP/1.1 200 OK\r\nX-Signature: s\r\nQuetzal-Request-Id: own\r\n" + length;
+    case upstream_step::unstated_408:
+        return "HTTP/1.1 408 Request Timeout\r\nX-Signature: s\r\nQuetzal-Request-Id: own\r\n" + length;
+    case upstream_step::unstated_429:
+        return "HTTP/1.1 429 Too Many Requests\r\nX-Signature: s\r\nQuetzal-Request-Id: own\r\n" + length;
+    case upstream_step::unstated_503:
+        return "HTTP/1.1 503 Busy\r\nX-Signature: s\r\nQuetzal-Request-Id: own\r\n" + length;
+    case upstream_step::unstated_503_without_id:
+        return "HTTP/1.1 503 Busy\r\n" + length;
+    case upstream_step::shed_twice:
+        return "HTTP/1.1 503 Busy\r\nQuetzal-Outcome: not-run\r\nQuetzal-Request-Id: own\r\n"
+               "Content-Length: 4\r\n\r\nbusy";
+    case upstream_step::misdirected_twice:
     case upstream_step::misdirected:
         return "HTTP/1.1 421 Misdirected Request\r\nQuetzal-Request-Id: own\r\nContent-Length: "
                "5\r\n\r\nother";
@@ -94,6 +108,21 @@
     return {};
 }
 
+// Returns whether the step refuses the request without running it.
+bool is_refusal(upstream_step step)
+{
+    switch (step) {
+    case upstream_step::shed:
+    case upstream_step::shed_twice:
+    case upstream_step::misdirected:
+    case upstream_step::misdirected_twice:
+    case upstream_step::answer_early:
+        return true;
+    default:
+        return false;
+    }
+}
+
 // Returns what a step without end repeats, or no value for another step.
 std::optional<std::string> endless_part(upstream_step step)
 {
@@ -256,6 +285,8 @@
 asio::awaitable<void> scripted_upstream::serve(asio::ip::tcp::socket socket)
 {
     beast::flat_buffer buffer;
+    // The refusal that is sent once more before the next response.
+    std::string repeated_refusal;
     while (true) {
         beast::error_code error;
         beast::http::request_parser<beast::http::string_body> parser;
@@ -286,8 +317,7 @@
             }
         }
         const std::string request_id(parser.get()["Quetzal-Request-Id"]);
-        if (step != upstream_step::shed && step != upstream_step::answer_early &&
-            step != upstream_step::misdirected) {
+        if (!is_refusal(step)) {
             record_execution(request_id);
         }
         std::string body;
@@ -320,6 +350,10 @@
         if (parser.get().method() == beast::http::verb::head) {
             text.resize(text.find("\r\n\r\n") + 4);
         }
+        text.insert(0, std::exchange(repeated_refusal, {}));
+        if (step == upstream_step::misdirected_twice || step == upstream_step::shed_twice) {
+            repeated_refusal = text;
+        }
         co_await asio::async_write(socket, asio::buffer(text),
                                    asio::redirect_error(asio::use_awaitable, error));
         if (step == upstream_step::reset_within_body || step == upstream_step::reset_within_chunked_body) {
--- a/packages/caller/tests/scripted_upstream.h
+++ b/packages/caller/tests/scripted_upstream.h
@@ -44,14 +44,27 @@
     answer_after_foreign,
     // Runs the request and sends a refusal without a request identifier before the response.
     answer_after_refusal,
+    // Run the request and send a refusal with the signature and the request identifier that does not state
+    // that the request was not run.
+    unstated_408,
+    unstated_429,
+    unstated_503,
+    // Runs the request and sends an unstated refusal without signature and request identifier.
+    unstated_503_without_id,
     // Runs the request and closes the connection within the header of the response.
     close_within_header,
     // Sends 421, as an endpoint that has taken over the address of another one, and does not run the request.
     misdirected,
+    // Like misdirected, or sends 503 with the outcome not-run and the request identifier. The refusal is sent
+    // once more when the next request has arrived on the connection, before the response to that one.
+    misdirected_twice,
+    shed_twice,
     // Sends 503 with the outcome not-run, and does not run the request.
     shed,
     // Runs the request and sends no response.
     hang,
+    // Runs the request and sends a signed response with the request identifier.
+    answer_signed,
     // Runs the request, sends the response and closes the connection without announcing it.
     answer_and_close,
     // Runs the request and sends, after the response, a second one that belongs to no request.
