Dispatch: Believe a refusal only if the endpoint states it

What callers saw: an endpoint ran a booking and answered 503, 429 or 408, and the instance passed that on. Callers take these statuses for the guarantee that the request was not run, and booked again (REFUSED).

Cause: a status that is a guarantee was relayed without the statement that backs it.

Change: a response with 408, 421, 429 or 503 needs the identifier of the request, and the endpoint's statement that it did not run it (421 from an endpoint that is not the expected one is such a statement). Otherwise its outcome is unknown: requests that may be repeated go to another endpoint if the budget allows it, others get 502.

--- a/packages/caller/request_exchange_response.cpp
+++ b/packages/caller/request_exchange_response.cpp
@@ -54,7 +54,8 @@
         }
         const dispatch::response_kind kind =
             dispatch::classify_response(result.status, header, m_request_id, profile);
-        if (kind == dispatch::response_kind::answer || kind == dispatch::response_kind::shed) {
+        if (kind == dispatch::response_kind::answer || kind == dispatch::response_kind::shed ||
+            kind == dispatch::response_kind::unstated_refusal) {
             result.rate_limit = dispatch::find_upstream_rate_limit(header, profile);
         }
         if (kind == dispatch::response_kind::answer) {
@@ -90,6 +91,8 @@
         return failure::upstream_shed;
     case dispatch::response_kind::misdirected:
         return failure::misdirected_request;
+    case dispatch::response_kind::unstated_refusal:
+        return failure::refusal_unstated;
     case dispatch::response_kind::answer:
     case dispatch::response_kind::other_request:
     case dispatch::response_kind::unverified:
--- a/packages/caller/tests/checked_response_test.cpp
+++ b/packages/caller/tests/checked_response_test.cpp
@@ -228,8 +228,8 @@
     CHECK_EQUAL(1U, executions());
 }
 
-// Guards against passing on an endpoint's refusal that does not state that the request was not run: the caller
-// took its status for the guarantee, and repeated a request that had run.
+// Guards against passing on an endpoint's refusal that does not state that the request was not run: the
+// caller took its status for the guarantee, and repeated a request that had run.
 TEST(checked_response, a_refusal_that_does_not_state_not_run_promises_nothing)
 {
     is_repeatable = false;
--- a/packages/dispatch/outcome.cpp
+++ b/packages/dispatch/outcome.cpp
@@ -14,7 +14,7 @@
 {
 
 // In the order of the enumeration, so that the value of a failure is the index of its row.
-constexpr std::array<outcome_rule, 45> rules{{
+constexpr std::array<outcome_rule, 46> rules{{
     {failure::malformed_header, outcome::not_run, 400, "malformed-header", false, false},
     {failure::malformed_target, outcome::not_run, 400, "malformed-target", false, false},
     {failure::ambiguous_framing, outcome::not_run, 400, "ambiguous-framing", false, false},
@@ -56,6 +56,7 @@
     {failure::body_truncated, outcome::ran, 0, "body-truncated", false, false},
     {failure::response_incomplete, outcome::unknown, 502, "response-incomplete", true, false},
     {failure::response_unverified, outcome::unknown, 502, "response-unverified", true, false},
+    {failure::refusal_unstated, outcome::unknown, 502, "refusal-unstated", true, false},
     {failure::misdirected_request, outcome::not_run, 503, "misdirected", true, true},
     {failure::upstream_error, outcome::ran, 502, "upstream-error", true, false},
     {failure::no_configuration, outcome::not_run, 503, "no-configuration", false, false},
--- a/packages/dispatch/outcome.h
+++ b/packages/dispatch/outcome.h
@@ -74,6 +74,9 @@
     // A response that cannot be shown to be the endpoint's answer to this request, for example a 2xx response
     // without the signature that the profile requires.
     response_unverified,
+    // The upstream sent a status that callers take for the guarantee that the request was not run, without
+    // stating that it did not run it.
+    refusal_unstated,
     // The address now belongs to another endpoint, which did not run the request.
     misdirected_request,
     // The upstream answered with a server error (5xx), and another endpoint may succeed.
@@ -105,8 +108,8 @@
 // its method is not idempotent, is only retried if it certainly was not run.
 bool allows_retry(failure cause, bool is_idempotent);
 
-// Returns whether callers of a deployment whose statuses are guarantees take the status for the guarantee that
-// the request was not run: 408, 421, 429 or 503.
+// Returns whether callers of a deployment whose statuses are guarantees take the status for the guarantee
+// that the request was not run: 408, 421, 429 or 503.
 bool is_not_run_status(unsigned status);
 
 // Returns whether executing the method several times has the same effect as executing it once (RFC
--- a/packages/dispatch/response_check.cpp
+++ b/packages/dispatch/response_check.cpp
@@ -3,6 +3,7 @@
 #include "dispatch/response_check.h"
 
 #include "dispatch/header_rules.h"
+#include "dispatch/outcome.h"
 
 namespace quetzalspan::dispatch
 {
@@ -47,7 +48,9 @@
     }
     const bool is_misdirected = !profile.expected_endpoint_field.empty() && status == misdirected_status;
     const bool is_shed = is_shed_response(status, fields, profile);
-    if ((is_misdirected || is_shed) && profile.is_request_id_echoed && !has_matching_id) {
+    const bool is_refusal =
+        is_misdirected || is_shed || (profile.does_503_mean_not_run && is_not_run_status(status));
+    if (is_refusal && profile.is_request_id_echoed && !has_matching_id) {
         // It may be an earlier refusal that the endpoint has written once more, and this request may run.
         return response_kind::unverified;
     }
@@ -57,6 +60,9 @@
     if (is_shed) {
         return response_kind::shed;
     }
+    if (is_refusal) {
+        return response_kind::unstated_refusal;
+    }
     if (is_success(status) && !is_verified(fields, has_matching_id, profile)) {
         return response_kind::unverified;
     }
--- a/packages/dispatch/response_check.h
+++ b/packages/dispatch/response_check.h
@@ -22,17 +22,21 @@
     misdirected,
     // A late response to another request: it carries another request identifier.
     other_request,
+    // A status that callers take for the guarantee that the request was not run, from an endpoint that does
+    // not
+    // state that it did not run the request.
+    unstated_refusal,
     // A 2xx response without the signature, or a 2xx response or refusal without the echoed request
-    // identifier, that
-    // the profile requires.
+    // identifier, that the profile requires.
     unverified,
 };
 
-inline constexpr core::name_table response_kind_names{std::array<core::named_value<response_kind>, 5>{{
+inline constexpr core::name_table response_kind_names{std::array<core::named_value<response_kind>, 6>{{
     {response_kind::answer, "answer"},
     {response_kind::shed, "shed"},
     {response_kind::misdirected, "misdirected"},
     {response_kind::other_request, "foreign"},
+    {response_kind::unstated_refusal, "unstated-refusal"},
     {response_kind::unverified, "unverified"},
 }}};
 
--- a/packages/edge/endpoint_balancer.cpp
+++ b/packages/edge/endpoint_balancer.cpp
@@ -235,6 +235,7 @@
     case failure::connect_failed:
         return attempt_outcome::unreachable;
     case failure::upstream_error:
+    case failure::refusal_unstated:
         return attempt_outcome::server_error;
     case failure::response_timeout:
         return attempt_outcome::timed_out;
