Caller: Never send two attempts of a request on one connection

What callers saw: 503 for a request that an endpoint ran (REFUSED).

Cause: a response is matched to a request by the request's identifier, and all attempts of a request have the same one. A connection carries the copies of every response that its endpoint has written, so the identifier cannot tell the attempts on one connection apart. The class of fault: an identifier that is shared by what it has to tell apart.

Change: an attempt does not use a connection that an earlier attempt of the same request has used. The connection stays in the pool for other requests, whose identifiers differ from that of a late copy. This holds for every pair of attempts, whatever the first one ended with.

--- a/packages/caller/endpoint_lease.h
+++ b/packages/caller/endpoint_lease.h
@@ -27,7 +27,8 @@
     std::optional<core::duration> wait;
     // Whether the endpoint was contacted. If not, the result says nothing about its health.
     bool was_contacted = false;
-    // The connection, by its number in the pool, and whether an earlier request used it; 0 if none was opened.
+    // The connection, by its number in the pool, and whether an earlier request used it; 0 if none was
+    // opened.
     std::uint64_t connection_number = 0;
     bool is_connection_reused = false;
     // Whether the endpoint has ended: it broke the connection off, and its address refuses new ones.
--- a/packages/caller/request_exchange.cpp
+++ b/packages/caller/request_exchange.cpp
@@ -392,13 +392,14 @@
     const std::optional<upstream::forward_failure> open_failure = co_await exchange.open(
         lease.address(),
         is_connect_bounded ? std::min(m_summary.deadline, start + connect_timeout) : m_summary.deadline,
-        start);
+        start, m_used_connections);
     result.was_contacted = open_failure != upstream::forward_failure::connection_limit;
     if (open_failure) {
         co_return failure_for(*open_failure);
     }
     result.connection_number = exchange.connection_number();
     result.is_connection_reused = exchange.is_reused();
+    m_used_connections.push_back(result.connection_number);
     if (m_context.hooks.recheck_authorization) {
         const std::optional<rejection> cause =
             m_context.hooks.recheck_authorization(m_summary, m_admission, current_time());
--- a/packages/caller/request_exchange.h
+++ b/packages/caller/request_exchange.h
@@ -115,6 +115,9 @@
     // The upstream exchange that is cancelled when the caller disconnects; null while there is none.
     upstream::forwarder* m_current_exchange = nullptr;
     std::vector<std::string> m_tried_endpoints;
+    // All attempts have the same request identifier, so a refusal that an endpoint repeats could be taken for
+    // the response to a later attempt on the same connection.
+    upstream::connection_numbers m_used_connections;
     std::uint32_t m_attempts = 0;
     // Number of attempts in which at least one byte of the request was written to an endpoint.
     std::uint32_t m_sent_attempts = 0;
--- a/packages/upstream/connection_pool.cpp
+++ b/packages/upstream/connection_pool.cpp
@@ -6,6 +6,8 @@
 
 #include <boost/asio/buffer.hpp>
 
+#include <algorithm>
+
 namespace quetzalspan::upstream
 {
 
@@ -43,7 +45,8 @@
 {
 }
 
-std::unique_ptr<connection> connection_pool::take_idle(const tcp::endpoint& address, core::instant now)
+std::unique_ptr<connection> connection_pool::take_idle(const tcp::endpoint& address, core::instant now,
+                                                       const connection_numbers& excluded)
 {
     // Declared before the lock, so that the connections are closed after it is released.
     std::vector<idle_connection> to_close;
@@ -51,9 +54,15 @@
     endpoint_connections& state = m_endpoints[address];
     // The most recently used connection is the least likely to be closed by the peer, and using it lets the
     // others expire.
-    while (!state.idle.empty()) {
-        idle_connection candidate = std::move(state.idle.back());
-        state.idle.pop_back();
+    std::size_t next = state.idle.size();
+    while (next > 0) {
+        --next;
+        const std::uint64_t number = state.idle[next].handle->number();
+        if (std::find(excluded.begin(), excluded.end(), number) != excluded.end()) {
+            continue;
+        }
+        idle_connection candidate = std::move(state.idle[next]);
+        state.idle.erase(state.idle.begin() + static_cast<std::ptrdiff_t>(next));
         if (now - candidate.idle_since < m_options.idle_lifetime && candidate.handle->is_reusable()) {
             return std::move(candidate.handle);
         }
--- a/packages/upstream/connection_pool.h
+++ b/packages/upstream/connection_pool.h
@@ -57,6 +57,9 @@
     message_reader<false> m_reader;
 };
 
+// The numbers of the connections that earlier attempts of a request used.
+using connection_numbers = std::vector<std::uint64_t>;
+
 // Thread-safe. The pool must outlive the connections taken from it.
 class connection_pool
 {
@@ -66,9 +69,10 @@
     connection_pool(const connection_pool&) = delete;
     connection_pool& operator=(const connection_pool&) = delete;
 
-    // Returns a reusable idle connection, or null if there is none. Closes the idle connections that it finds
-    // expired or not reusable.
-    std::unique_ptr<connection> take_idle(const boost::asio::ip::tcp::endpoint& address, core::instant now);
+    // Returns a reusable idle connection whose number is not among the excluded ones, or null if there is
+    // none. Closes the idle connections that it finds expired or not reusable.
+    std::unique_ptr<connection> take_idle(const boost::asio::ip::tcp::endpoint& address, core::instant now,
+                                          const connection_numbers& excluded = {});
 
     // Returns a connection whose socket is not open yet, or null if max_connections is reached.
     std::unique_ptr<connection> create_connection(const boost::asio::ip::tcp::endpoint& address);
--- a/packages/upstream/forwarder.cpp
+++ b/packages/upstream/forwarder.cpp
@@ -85,12 +85,13 @@
 }
 
 asio::awaitable<std::optional<forward_failure>> forwarder::open(const asio::ip::tcp::endpoint& address,
-                                                                core::instant deadline, core::instant now)
+                                                                core::instant deadline, core::instant now,
+                                                                const connection_numbers& excluded)
 {
     core::check(!m_connection, "an exchange can open only one connection");
     m_address = address;
     m_deadline->set(deadline);
-    m_connection = m_pool.take_idle(address, now);
+    m_connection = m_pool.take_idle(address, now, excluded);
     if (m_connection) {
         m_is_reused = true;
         co_return std::nullopt;
--- a/packages/upstream/forwarder.h
+++ b/packages/upstream/forwarder.h
@@ -73,10 +73,11 @@
     forwarder(const forwarder&) = delete;
     forwarder& operator=(const forwarder&) = delete;
 
-    // Takes an idle connection from the pool or opens one. Returns the failure; no value on success. The
-    // deadline applies to every later step as well.
+    // Takes an idle connection that is not excluded from the pool or opens one. Returns the failure; no value
+    // on success. The deadline applies to every later step as well.
     boost::asio::awaitable<std::optional<forward_failure>> open(const boost::asio::ip::tcp::endpoint& address,
-                                                                core::instant deadline, core::instant now);
+                                                                core::instant deadline, core::instant now,
+                                                                const connection_numbers& excluded = {});
 
     // Changes the deadline for the steps that follow.
     void set_deadline(core::instant deadline) { m_deadline->set(deadline); }
--- a/packages/upstream/tests/upstream_test.cpp
+++ b/packages/upstream/tests/upstream_test.cpp
@@ -133,6 +133,23 @@
     LONGS_EQUAL(1, pool->open_connections(address));
 }
 
+// Guards against giving a request a connection that an earlier attempt of it used, and against losing that
+// connection for other requests.
+TEST(upstream, excluded_connections_stay_in_the_pool)
+{
+    add_idle();
+    add_idle();
+    std::unique_ptr<upstream::connection> last = pool->take_idle(address, start);
+    const upstream::connection_numbers excluded{last->number()};
+    pool->put_idle(address, std::move(last), start);
+    const std::unique_ptr<upstream::connection> other = pool->take_idle(address, start, excluded);
+    CHECK(other != nullptr && other->number() != excluded.front());
+    CHECK(pool->take_idle(address, start, excluded) == nullptr);
+    last = pool->take_idle(address, start);
+    CHECK(last != nullptr && last->number() == excluded.front());
+    LONGS_EQUAL(2, pool->open_connections(address));
+}
+
 // Guards against more connections than the limit, and against closed connections that stay counted.
 TEST(upstream, connections_are_limited)
 {
