Caller: Reset the connection of a response that was not verified

A refusal without the request's identifier, and a success without the signature, are not taken for the response: the caller gets 502. The connection went back to the pool, although the endpoint may still be running the request and will then write its response there. The next request on it waits behind that run, and a stray answer precedes its own.

Cause: the end of a response was taken for the end of the exchange. The pool is to keep a connection only if the response is known to be the one to the request.

Change: such an exchange counts as unanswered, so that its connection is reset, which also tells the endpoint to drop the request. Responses to other requests that are followed by the right one keep the connection, as before.

The test of unstated refusals changed a variable within a macro that evaluates it several times; the increment is now a statement of its own.

--- a/packages/caller/request_exchange_response.cpp
+++ b/packages/caller/request_exchange_response.cpp
@@ -66,6 +66,9 @@
                                               is_body_discarded &&
                                               other_responses < m_context.options.max_discarded_responses;
         if (!is_next_response_awaited) {
+            if (failure_for(kind) == failure::response_unverified) {
+                exchange.reject_response();
+            }
             co_return rejection{failure_for(kind)};
         }
         core::info_event("foreign_response_dropped")
--- a/packages/caller/tests/checked_response_test.cpp
+++ b/packages/caller/tests/checked_response_test.cpp
@@ -241,7 +241,8 @@
         const std::string response = exchange("POST");
         CHECK_EQUAL(502, parse_status(response));
         CHECK_FALSE(contains(response, "X-Signature"));
-        CHECK_EQUAL(++expected_executions, executions());
+        ++expected_executions;
+        CHECK_EQUAL(expected_executions, executions());
     }
 }
 
--- a/packages/upstream/forwarder.cpp
+++ b/packages/upstream/forwarder.cpp
@@ -181,6 +181,12 @@
     co_return part;
 }
 
+void forwarder::reject_response()
+{
+    m_is_usable = false;
+    m_is_response_complete = false;
+}
+
 void forwarder::finish(bool is_request_complete, core::instant now)
 {
     m_deadline->clear();
--- a/packages/upstream/forwarder.h
+++ b/packages/upstream/forwarder.h
@@ -97,6 +97,10 @@
     // request.
     void cancel();
 
+    // Says that the response read so far is not known to answer the request, so that the request counts as
+    // unanswered and its connection is not reused.
+    void reject_response();
+
     // Ends the exchange. Returns the connection to the pool if the whole request was written, the whole
     // response was read, nothing failed or was cancelled and the upstream keeps the connection open; closes
     // it otherwise.
