Edge: Number the questions of a restarted instance differently

An instance matches the answers of other instances to its questions by a number that began with 0 in each process. After a restart at the same address, an answer to a question of the former process, for example of an instance that was frozen meanwhile, was taken for the answer to a new question with the same number: a token for another workspace, or an old confirmation of the configuration that counted as a new one.

Found when looking for other places with the cause of the refused requests that have run: an identifier that is shared by what it has to tell apart.

The numbers now begin at a random value. The test confirmation_client.an_answer_to_the_former_process_is_not_taken failed before and passes now.

--- a/packages/edge/pending_answers.h
+++ b/packages/edge/pending_answers.h
@@ -14,6 +14,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <random>
 
 namespace quetzalspan::edge
 {
@@ -29,7 +30,8 @@
     pending_answers(const pending_answers&) = delete;
     pending_answers& operator=(const pending_answers&) = delete;
 
-    // Returns the number of the next question.
+    // Returns the number of the next question. The numbers of a restarted process start elsewhere, so that an
+    // answer to its predecessor finds no question.
     std::uint64_t take_number() { return m_next_number++; }
 
     // Waits for the answer to the question. Returns no value if there is none within the timeout.
@@ -61,8 +63,18 @@
         std::optional<Answer> answer;
     };
 
+    // Leaves room for the questions of one process between two starts. The sum stays within the 53 bits that
+    // every reader of JSON keeps.
+    static constexpr unsigned start_shift_bits = 20;
+
+    static std::uint64_t random_start()
+    {
+        std::random_device source;
+        return std::uint64_t{source()} << start_shift_bits;
+    }
+
     boost::asio::any_io_executor m_executor;
-    std::uint64_t m_next_number = 0;
+    std::uint64_t m_next_number = random_start();
     // The questions that wait for an answer, by number.
     std::map<std::uint64_t, std::shared_ptr<question>> m_questions;
 };
--- a/packages/edge/tests/confirmation_client_test.cpp
+++ b/packages/edge/tests/confirmation_client_test.cpp
@@ -18,6 +18,8 @@
     std::optional<instance_record> relay = instance_record{};
     // The answer of the relay; without a value it does not answer.
     std::optional<confirmation_message> answer;
+    // The number that the answer repeats instead of the question's.
+    std::optional<std::uint64_t> answered_number;
     int question_count = 0;
     confirmation_client client{context.get_executor(), "own", make_hooks()};
 
@@ -29,7 +31,8 @@
             ++question_count;
             if (answer) {
                 confirmation_message sent = *answer;
-                sent.number = std::get<confirmation_request_message>(parse_peer_message(text, "test")).number;
+                sent.number = answered_number.value_or(
+                    std::get<confirmation_request_message>(parse_peer_message(text, "test")).number);
                 boost::asio::post(context, [this, sent] { client.handle_answer(sent); });
             }
             return true;
@@ -91,3 +94,12 @@
     relay.reset();
     CHECK_FALSE(ask().has_value());
 }
+
+// Guards against taking the answer to a question that this instance asked before its restart, when its
+// questions had the same numbers: an old answer would confirm a configuration that has been replaced since.
+TEST(confirmation_client, an_answer_to_the_former_process_is_not_taken)
+{
+    answer = confirmation_message{0, 0, 17, milliseconds(300)};
+    answered_number = 0;
+    CHECK_FALSE(ask().has_value());
+}
