Edge: Do not eject an endpoint for limiting its callers

Since an endpoint's 429 or 408 that does not state 'not run' counted as a server error, so that an endpoint that limits a caller on its own account was ejected for all callers after two such responses.

Such a response is judged by its status again, as one that is relayed: 503 as a server error, 429 and 408 as a sign of life. The test request_rules.an_endpoint_that_limits_callers_is_not_ejected failed before and passes now. The set-up that it shares with another test moves to the group.

--- a/packages/dispatch/response_check.h
+++ b/packages/dispatch/response_check.h
@@ -23,8 +23,7 @@
     // A late response to another request: it carries another request identifier.
     other_request,
     // A status that callers take for the guarantee that the request was not run, from an endpoint that does
-    // not
-    // state that it did not run the request.
+    // not state that it did not run the request.
     unstated_refusal,
     // A 2xx response without the signature, or a 2xx response or refusal without the echoed request
     // identifier, that the profile requires.
--- a/packages/edge/endpoint_balancer.cpp
+++ b/packages/edge/endpoint_balancer.cpp
@@ -223,7 +223,9 @@
     if (!result.was_contacted) {
         return attempt_outcome::inconclusive;
     }
-    if (!result.failure) {
+    // A refusal of the endpoint's own, like any other response, shows by its status whether the endpoint
+    // works.
+    if (!result.failure || result.failure == failure::refusal_unstated) {
         return result.status >= first_server_error_status ? attempt_outcome::server_error
                                                           : attempt_outcome::success;
     }
@@ -235,7 +237,6 @@
     case failure::connect_failed:
         return attempt_outcome::unreachable;
     case failure::upstream_error:
-    case failure::refusal_unstated:
         return attempt_outcome::server_error;
     case failure::response_timeout:
         return attempt_outcome::timed_out;
--- a/packages/edge/tests/request_rules_test.cpp
+++ b/packages/edge/tests/request_rules_test.cpp
@@ -130,6 +130,30 @@
     {
         return std::get<caller::admission>(hooks.route_request(request(target), start));
     }
+
+    static placement::endpoint_record make_endpoint()
+    {
+        placement::endpoint_record result;
+        result.id = "a";
+        result.service = "orders";
+        result.host = "127.0.0.1";
+        result.port = 9;
+        result.region = "savo";
+        return result;
+    }
+
+    // Acquires an endpoint for a request on the public route.
+    endpoint_balancer::acquire_result acquire_on_open_route()
+    {
+        const caller::admission admitted = admit("/open/a");
+        const std::vector<std::string> tried;
+        attempt_request wanted;
+        wanted.request_id = "id";
+        wanted.service = &admitted.service;
+        wanted.route = &state.table()->source().routes[1];
+        wanted.tried = &tried;
+        return balancer.acquire(wanted, start);
+    }
 };
 
 // Guards against permanent rejections by an instance that has no configuration yet.
@@ -410,26 +434,34 @@
 TEST(request_rules, a_draining_endpoint_receives_nothing)
 {
     configure(make_configuration(1), seconds(0));
-    placement::endpoint_record record;
-    record.id = "a";
-    record.service = "orders";
-    record.host = "127.0.0.1";
-    record.port = 9;
-    record.region = "savo";
+    placement::endpoint_record record = make_endpoint();
     balancer.apply(record, true, start);
-    const caller::admission admitted = admit("/open/a");
-    const std::vector<std::string> tried;
-    attempt_request wanted;
-    wanted.request_id = "id";
-    wanted.service = &admitted.service;
-    const routing::route& route = state.table()->source().routes[1];
-    wanted.route = &route;
-    wanted.tried = &tried;
-    CHECK_TRUE(std::holds_alternative<caller::endpoint_lease>(balancer.acquire(wanted, start)));
+    CHECK_TRUE(std::holds_alternative<caller::endpoint_lease>(acquire_on_open_route()));
     record.phase = placement::endpoint_phase::draining;
     record.sequence = 1;
     balancer.apply(record, false, start);
-    const endpoint_balancer::acquire_result refused = balancer.acquire(wanted, start);
+    const endpoint_balancer::acquire_result refused = acquire_on_open_route();
     CHECK_TRUE(std::holds_alternative<caller::rejection>(refused));
     CHECK(std::get<caller::rejection>(refused).retry_after > core::duration(0));
 }
+
+// Guards against taking an endpoint out of use because it answers some callers with 429 on its own account:
+// it works, though its refusal promises nothing.
+TEST(request_rules, an_endpoint_that_limits_callers_is_not_ejected)
+{
+    configure(make_configuration(1), seconds(0));
+    balancer.apply(make_endpoint(), true, start);
+    constexpr int refusals = 5;
+    for (int count = 0; count < refusals; ++count) {
+        endpoint_balancer::acquire_result acquired = acquire_on_open_route();
+        CHECK_TRUE(std::holds_alternative<caller::endpoint_lease>(acquired));
+        caller::attempt_result result;
+        result.was_contacted = true;
+        result.failure = dispatch::failure::refusal_unstated;
+        result.status = 429;
+        std::get<caller::endpoint_lease>(acquired).release(result);
+    }
+    const burn::counter& ejections =
+        metrics.get_counter("upstream_ejections_total", "Endpoints passed over after failures.");
+    CHECK_EQUAL(0U, ejections.value());
+}
