Caller: Test endless bytes that are no HTTP and bodies without length

Operators of similar systems report an instance that kept an endpoint's bytes until it ran out of memory. Of the ways in which an endpoint can send bytes without end, two had no test: bytes that are no HTTP at all, and a body that only the end of the connection delimits. Both are given up within the limits; nothing had to change.

--- a/packages/caller/tests/endless_response_test.cpp
+++ b/packages/caller/tests/endless_response_test.cpp
@@ -22,7 +22,8 @@
     fixture.options.default_deadline = std::chrono::seconds(30);
     fixture.start();
     std::size_t finished = 0;
-    for (const upstream_step step : {endless_field, endless_header, endless_interim_responses}) {
+    for (const upstream_step step :
+         {endless_noise, endless_field, endless_header, endless_interim_responses}) {
         const std::uint64_t bytes_before = fixture.first->endless_bytes();
         const std::uint32_t cancelled_before = fixture.first->cancelled();
         fixture.first->set_script({step});
@@ -48,7 +49,8 @@
     fixture.options.response_buffer_bytes = 64 * 1024;
     fixture.start();
     std::size_t finished = 0;
-    for (const upstream_step step : {endless_chunk_extension, endless_body, endless_trailer}) {
+    for (const upstream_step step :
+         {endless_chunk_extension, endless_body, endless_unframed_body, endless_trailer}) {
         const std::uint32_t cancelled_before = fixture.first->cancelled();
         fixture.first->set_script({step});
         raw_caller caller(fixture.server->port());
--- a/packages/caller/tests/scripted_upstream.cpp
+++ b/packages/caller/tests/scripted_upstream.cpp
@@ -91,6 +91,8 @@
         return "HTTP/1.1 200 OK\r\nX-Long: ";
     case upstream_step::endless_header:
         return "HTTP/1.1 200 OK\r\n";
+    case upstream_step::endless_unframed_body:
+        return "HTTP/1.1 200 OK\r\n\r\n";
     case upstream_step::endless_interim_responses:
         return "HTTP/1.1 103 Early Hints\r\n\r\n";
     case upstream_step::endless_chunk_extension:
@@ -99,6 +101,7 @@
         return "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
     case upstream_step::endless_trailer:
         return "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n";
+    case upstream_step::endless_noise:
     case upstream_step::reset_on_accept:
     case upstream_step::reset_after_header:
     case upstream_step::reset_after_running:
@@ -127,8 +130,11 @@
 std::optional<std::string> endless_part(upstream_step step)
 {
     switch (step) {
+    case upstream_step::endless_noise:
+        return std::string(1024, '\0');
     case upstream_step::endless_field:
     case upstream_step::endless_chunk_extension:
+    case upstream_step::endless_unframed_body:
         return std::string(1024, 'a');
     case upstream_step::endless_header:
     case upstream_step::endless_trailer:
--- a/packages/caller/tests/scripted_upstream.h
+++ b/packages/caller/tests/scripted_upstream.h
@@ -73,13 +73,16 @@
     answer_after_interim,
     // Runs the request and sends a complete chunked response.
     answer_chunked,
-    // Run the request and send bytes without end, until the peer closes: a field in the header, fields in the
-    // header, interim responses, an extension of a chunk, a chunked body, fields after the last chunk.
+    // Run the request and send bytes without end, until the peer closes: bytes that are not HTTP, a field in
+    // the header, fields in the header, interim responses, an extension of a chunk, a chunked body, a body
+    // that only the end of the connection delimits, fields after the last chunk.
+    endless_noise,
     endless_field,
     endless_header,
     endless_interim_responses,
     endless_chunk_extension,
     endless_body,
+    endless_unframed_body,
     endless_trailer,
     // Sends 413 after the request header, without running the request, and discards what follows until the
     // peer closes.
