Caller: Wait for each attempt's report in a test

An attempt is reported after its response has been sent, so the report of the next request's first attempt could come before it; the test expects the reports in the order of the requests.

--- a/packages/caller/tests/hooks_test.cpp
+++ b/packages/caller/tests/hooks_test.cpp
@@ -179,8 +179,12 @@
     fixture.start();
     fixture.first->set_script({upstream_step::reset_after_running, upstream_step::end_while_running});
     const std::string request = make_request("GET", "/designs/7");
+    // An attempt is reported after its response has been sent, so the next request waits for the end of this
+    // one.
     LONGS_EQUAL(200, parse_status(fixture.exchange(request)));
+    fixture.wait_for_finished(1);
     LONGS_EQUAL(200, parse_status(fixture.exchange(request)));
+    fixture.wait_for_finished(2);
     LONGS_EQUAL(200, parse_status(fixture.exchange(make_request("GET", "/designs/8"))));
     fixture.wait_for_finished(3);
     CHECK(event_at(0).ends_with(" failed"));
