Edge: Log how many requests preceded the news of a restart

The line endpoint_changed tells in sent_last_second how many requests this instance sent to the endpoint within the last 1.15 s, whichever incarnation they were for. Without it, the log cannot tell whether a cold endpoint was flooded before the instances heard of its start or after. Behaviour is unchanged.

--- a/packages/edge/endpoint_balancer.cpp
+++ b/packages/edge/endpoint_balancer.cpp
@@ -79,7 +79,8 @@
         .with("service", about.record.service)
         .with("availability_zone", about.record.availability_zone)
         .with("incarnation", about.record.incarnation)
-        .with("sequence", about.record.sequence);
+        .with("sequence", about.record.sequence)
+        .with("sent_last_second", about.recent_send_times.size());
 }
 
 placement::cold_limit endpoint_balancer::compute_cold_limit(const routing::service* service_config) const
@@ -169,6 +170,7 @@
     ++target->outstanding_requests;
     ++target->sent_requests;
     placement::record_cold_request(*target, now);
+    placement::record_send(*target, now);
     return make_lease(target, request, now);
 }
 
--- a/packages/placement/cold_start.cpp
+++ b/packages/placement/cold_start.cpp
@@ -9,14 +9,6 @@
 namespace quetzalspan::placement
 {
 
-namespace
-{
-
-// Longer than the one second of the limit, because requests take different times to arrive.
-constexpr core::duration cold_window = std::chrono::milliseconds(1150);
-
-} // namespace
-
 std::uint32_t rendezvous_rank(std::uint64_t key_hash, const fleet_view& fleet)
 {
     const std::uint64_t own = core::mix_hash(fleet.own_hash ^ key_hash);
@@ -58,4 +50,17 @@
     }
 }
 
+void remove_old_sends(endpoint& target, core::instant now)
+{
+    while (!target.recent_send_times.empty() && now - target.recent_send_times.front() >= cold_window) {
+        target.recent_send_times.pop_front();
+    }
+}
+
+void record_send(endpoint& target, core::instant now)
+{
+    remove_old_sends(target, now);
+    target.recent_send_times.push_back(now);
+}
+
 } // namespace quetzalspan::placement
--- a/packages/placement/cold_start.h
+++ b/packages/placement/cold_start.h
@@ -12,6 +12,10 @@
 namespace quetzalspan::placement
 {
 
+// The time over which the requests to a cold endpoint are counted. Longer than the one second of the limit,
+// because requests take different times to arrive.
+inline constexpr core::duration cold_window = std::chrono::milliseconds(1150);
+
 struct cold_limit {
     // Requests per second that a cold endpoint of the service may receive from the whole fleet. 0 means no
     // limit; other values below 1 count as 1.
@@ -40,6 +44,12 @@
 // Counts a request that is sent now against the limit. Does nothing if the endpoint is warm.
 void record_cold_request(endpoint& target, core::instant now);
 
+// Records a request that is sent now.
+void record_send(endpoint& target, core::instant now);
+
+// Removes the times that are further back than cold_window from recent_send_times.
+void remove_old_sends(endpoint& target, core::instant now);
+
 // Returns the rank of this instance in the fleet by rendezvous hashing of the key; 0 is the first. Instances
 // that know the same fleet compute the same ranking.
 std::uint32_t rendezvous_rank(std::uint64_t key_hash, const fleet_view& fleet);
--- a/packages/placement/endpoint.h
+++ b/packages/placement/endpoint.h
@@ -41,6 +41,8 @@
     // Times of recent requests that were sent while the endpoint was cold; no more than this instance's share
     // of the cold limit.
     std::deque<core::instant> cold_send_times;
+    // Times at which this instance sent requests to the id, to any incarnation, within the last cold_window.
+    std::deque<core::instant> recent_send_times;
 
     // Failures since the last success or ejection.
     std::uint32_t consecutive_failures = 0;
--- a/packages/placement/endpoint_catalog.cpp
+++ b/packages/placement/endpoint_catalog.cpp
@@ -3,6 +3,7 @@
 #include "placement/endpoint_catalog.h"
 
 #include "core/stable_hash.h"
+#include "placement/cold_start.h"
 
 #include <algorithm>
 
@@ -84,7 +85,10 @@
         m_endpoints.erase(record.id);
         existing.is_removed = true;
         add(record, now, false);
-        notify_change(catalog_change::restarted, *m_endpoints.at(record.id));
+        endpoint& present = *m_endpoints.at(record.id);
+        present.recent_send_times = existing.recent_send_times;
+        remove_old_sends(present, now);
+        notify_change(catalog_change::restarted, present);
         return;
     }
     existing.record = record;
