Upstream: Tell how old a connection is and whether the endpoint closed it

An attempt can be limited to connections that were opened before a given time, and the owner of a lease is asked before a connection replaces idle ones that the endpoint has closed within 5 s of their last use. Both are needed to tell a new incarnation of an endpoint from the known one: it is reached over new connections only. Nothing uses them yet.

The tests of the connection pool read the connection from the new result type; what they check is unchanged.

--- a/packages/caller/endpoint_lease.cpp
+++ b/packages/caller/endpoint_lease.cpp
@@ -23,7 +23,10 @@
 endpoint_lease::endpoint_lease(endpoint_lease&& other) noexcept
     : m_identity(std::move(other.m_identity)),
       m_address(std::move(other.m_address)),
-      m_release(std::exchange(other.m_release, nullptr))
+      m_release(std::exchange(other.m_release, nullptr)),
+      m_opened_until(other.m_opened_until),
+      m_may_reconnect(std::move(other.m_may_reconnect)),
+      m_on_connection(std::move(other.m_on_connection))
 {
 }
 
@@ -32,6 +35,13 @@
     release(attempt_result());
 }
 
+void endpoint_lease::report_connection(core::instant opened_at) const
+{
+    if (m_on_connection) {
+        m_on_connection(opened_at);
+    }
+}
+
 void endpoint_lease::release(const attempt_result& result)
 {
     if (const release_function function = std::exchange(m_release, nullptr)) {
--- a/packages/caller/endpoint_lease.h
+++ b/packages/caller/endpoint_lease.h
@@ -31,6 +31,8 @@
     // opened.
     std::uint64_t connection_number = 0;
     bool is_connection_reused = false;
+    // When the connection was opened; the latest possible time if none was.
+    core::instant connection_opened_at = core::instant::max();
     // Whether the endpoint has ended: it broke the connection off, and its address refuses new ones.
     bool has_endpoint_ended = false;
     // Time from the creation of the lease to the response's header, and to the end of the attempt.
@@ -48,6 +50,12 @@
 public:
     using release_function = std::function<void(const attempt_result&)>;
 
+    // Returns whether a connection may be opened now in place of one that the endpoint has closed early.
+    using reconnect_function = std::function<bool()>;
+
+    // Called with the time at which the connection of the attempt was opened, before the request is written.
+    using connection_function = std::function<void(core::instant opened_at)>;
+
     // Creates a lease for a numeric address. Throws boost::system::system_error if the host is not one.
     static endpoint_lease create(std::string identity, const std::string& host, std::uint16_t port,
                                  release_function release);
@@ -62,7 +70,20 @@
     // Calls the release function with the result. Only the first call has an effect.
     void release(const attempt_result& result);
 
+    // Allows only connections opened at the given time or before; none may be opened.
+    void restrict_to_connections(core::instant opened_until) { m_opened_until = opened_until; }
+    // Without this function, a connection may be opened.
+    void set_reconnect_check(reconnect_function may_reconnect) { m_may_reconnect = std::move(may_reconnect); }
+
+    void set_connection_handler(connection_function on_connection)
+    {
+        m_on_connection = std::move(on_connection);
+    }
+    void report_connection(core::instant opened_at) const;
+
     const std::string& identity() const { return m_identity; }
+    const std::optional<core::instant>& opened_until() const { return m_opened_until; }
+    const reconnect_function& reconnect_check() const { return m_may_reconnect; }
     const boost::asio::ip::tcp::endpoint& address() const { return m_address; }
 
 private:
@@ -72,6 +93,9 @@
     boost::asio::ip::tcp::endpoint m_address;
     // Empty after the lease was released or moved from.
     release_function m_release;
+    std::optional<core::instant> m_opened_until;
+    reconnect_function m_may_reconnect;
+    connection_function m_on_connection;
 };
 
 } // namespace quetzalspan::caller
--- a/packages/caller/request_exchange.cpp
+++ b/packages/caller/request_exchange.cpp
@@ -389,16 +389,20 @@
     const core::instant start = current_time();
     const core::duration connect_timeout = m_context.options.connect_timeout;
     const bool is_connect_bounded = connect_timeout > core::duration(0);
+    const upstream::connection_filter filter{m_used_connections, lease.opened_until()};
     const std::optional<upstream::forward_failure> open_failure = co_await exchange.open(
         lease.address(),
         is_connect_bounded ? std::min(m_summary.deadline, start + connect_timeout) : m_summary.deadline,
-        start, m_used_connections);
-    result.was_contacted = open_failure != upstream::forward_failure::connection_limit;
+        start, filter, lease.reconnect_check());
+    result.was_contacted = open_failure != upstream::forward_failure::connection_limit &&
+                           open_failure != upstream::forward_failure::connection_not_allowed;
     if (open_failure) {
         co_return failure_for(*open_failure);
     }
     result.connection_number = exchange.connection_number();
     result.is_connection_reused = exchange.is_reused();
+    result.connection_opened_at = exchange.connection_opened_at();
+    lease.report_connection(result.connection_opened_at);
     m_used_connections.push_back(result.connection_number);
     if (m_context.hooks.recheck_authorization) {
         const std::optional<rejection> cause =
--- a/packages/upstream/connection_pool.cpp
+++ b/packages/upstream/connection_pool.cpp
@@ -22,22 +22,26 @@
 {
 }
 
-void connection::set_socket_options()
+void connection::initialize(core::instant now)
 {
+    m_opened_at = now;
     boost::system::error_code ignored;
     m_socket.set_option(asio::ip::tcp::no_delay(true), ignored);
     m_socket.non_blocking(true, ignored);
 }
 
-bool connection::is_reusable()
+idle_state connection::check_idle()
 {
     if (m_reader.has_unread_bytes()) {
-        return false;
+        return idle_state::has_unread_bytes;
     }
     boost::system::error_code error;
     char byte = 0;
     m_socket.receive(asio::buffer(&byte, 1), asio::socket_base::message_peek, error);
-    return error == asio::error::would_block;
+    if (error == asio::error::would_block) {
+        return idle_state::reusable;
+    }
+    return error ? idle_state::closed_by_peer : idle_state::has_unread_bytes;
 }
 
 connection_pool::connection_pool(const asio::any_io_executor& executor, connection_pool_options options)
@@ -45,11 +49,12 @@
 {
 }
 
-std::unique_ptr<connection> connection_pool::take_idle(const tcp::endpoint& address, core::instant now,
-                                                       const connection_numbers& excluded)
+idle_result connection_pool::take_idle(const tcp::endpoint& address, core::instant now,
+                                       const connection_filter& filter)
 {
     // Declared before the lock, so that the connections are closed after it is released.
     std::vector<idle_connection> to_close;
+    idle_result result;
     const std::lock_guard<std::mutex> guard(m_mutex);
     endpoint_connections& state = m_endpoints[address];
     // The most recently used connection is the least likely to be closed by the peer, and using it lets the
@@ -57,19 +62,38 @@
     std::size_t next = state.idle.size();
     while (next > 0) {
         --next;
-        const std::uint64_t number = state.idle[next].handle->number();
-        if (std::find(excluded.begin(), excluded.end(), number) != excluded.end()) {
+        const connection& entry = *state.idle[next].handle;
+        const bool is_excluded = std::find(filter.excluded.begin(), filter.excluded.end(), entry.number()) !=
+                                 filter.excluded.end();
+        if (is_excluded || (filter.opened_until && entry.opened_at() > *filter.opened_until)) {
             continue;
         }
         idle_connection candidate = std::move(state.idle[next]);
         state.idle.erase(state.idle.begin() + static_cast<std::ptrdiff_t>(next));
-        if (now - candidate.idle_since < m_options.idle_lifetime && candidate.handle->is_reusable()) {
-            return std::move(candidate.handle);
+        const core::duration idle_time = now - candidate.idle_since;
+        if (idle_time < m_options.idle_lifetime) {
+            const idle_state checked = candidate.handle->check_idle();
+            if (checked == idle_state::reusable) {
+                result.handle = std::move(candidate.handle);
+                return result;
+            }
+            result.was_closed_early = result.was_closed_early || (checked == idle_state::closed_by_peer &&
+                                                                  idle_time < m_options.min_keep_alive);
         }
         --state.open_count;
         to_close.push_back(std::move(candidate));
     }
-    return nullptr;
+    return result;
+}
+
+bool connection_pool::has_idle(const tcp::endpoint& address, core::instant opened_until) const
+{
+    const std::lock_guard<std::mutex> guard(m_mutex);
+    const std::map<tcp::endpoint, endpoint_connections>::const_iterator found = m_endpoints.find(address);
+    return found != m_endpoints.end() && std::any_of(found->second.idle.begin(), found->second.idle.end(),
+                                                     [opened_until](const idle_connection& entry) {
+                                                         return entry.handle->opened_at() <= opened_until;
+                                                     });
 }
 
 std::unique_ptr<connection> connection_pool::create_connection(const tcp::endpoint& address)
--- a/packages/upstream/connection_pool.h
+++ b/packages/upstream/connection_pool.h
@@ -14,6 +14,7 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <vector>
 
 namespace quetzalspan::upstream
@@ -29,9 +30,21 @@
     // usual keep-alive time of servers, so that a server seldom closes a connection just as a request is
     // written to it.
     core::duration idle_lifetime = std::chrono::seconds(20);
+    // An endpoint that runs keeps an idle connection open for longer than this.
+    core::duration min_keep_alive = std::chrono::seconds(5);
     std::uint32_t header_limit_bytes = 32 * 1024;
 };
 
+// What an idle connection can be used for.
+enum class idle_state {
+    // Another request: the peer has not closed it, and there are no received bytes, which would be taken for
+    // the
+    // response to that request.
+    reusable,
+    closed_by_peer,
+    has_unread_bytes,
+};
+
 // A connection to an endpoint with the bytes received on it. Used by one request at a time.
 class connection
 {
@@ -44,15 +57,16 @@
     boost::asio::ip::tcp::socket& socket() { return m_socket; }
     message_reader<false>& reader() { return m_reader; }
 
-    // Turns on TCP_NODELAY and non-blocking mode. The socket must be connected.
-    void set_socket_options();
+    // Turns on TCP_NODELAY and non-blocking mode. The socket must be connected; now is when it was.
+    void initialize(core::instant now);
+    // Returns when the connection was opened.
+    core::instant opened_at() const { return m_opened_at; }
 
-    // Returns whether the connection can carry another request: the peer has not closed it, and there are no
-    // received bytes, which would be taken for the response to that request.
-    bool is_reusable();
+    idle_state check_idle();
 
 private:
     std::uint64_t m_number;
+    core::instant m_opened_at;
     boost::asio::ip::tcp::socket m_socket;
     message_reader<false> m_reader;
 };
@@ -60,6 +74,20 @@
 // The numbers of the connections that earlier attempts of a request used.
 using connection_numbers = std::vector<std::uint64_t>;
 
+// Which connections an attempt may use.
+struct connection_filter {
+    connection_numbers excluded;
+    // If there is a value, only connections opened at this time or before, and none may be opened.
+    std::optional<core::instant> opened_until;
+};
+
+struct idle_result {
+    // Null if no idle connection may be used.
+    std::unique_ptr<connection> handle;
+    // Whether the endpoint had closed one of the idle connections sooner than one that runs does.
+    bool was_closed_early = false;
+};
+
 // Thread-safe. The pool must outlive the connections taken from it.
 class connection_pool
 {
@@ -69,10 +97,14 @@
     connection_pool(const connection_pool&) = delete;
     connection_pool& operator=(const connection_pool&) = delete;
 
-    // Returns a reusable idle connection whose number is not among the excluded ones, or null if there is
-    // none. Closes the idle connections that it finds expired or not reusable.
-    std::unique_ptr<connection> take_idle(const boost::asio::ip::tcp::endpoint& address, core::instant now,
-                                          const connection_numbers& excluded = {});
+    // Takes a reusable idle connection that the filter allows. Closes the idle connections that it finds
+    // expired or not reusable.
+    idle_result take_idle(const boost::asio::ip::tcp::endpoint& address, core::instant now,
+                          const connection_filter& filter = {});
+
+    // Returns whether an idle connection was opened at the given time or before. It may have been closed
+    // since.
+    bool has_idle(const boost::asio::ip::tcp::endpoint& address, core::instant opened_until) const;
 
     // Returns a connection whose socket is not open yet, or null if max_connections is reached.
     std::unique_ptr<connection> create_connection(const boost::asio::ip::tcp::endpoint& address);
--- a/packages/upstream/forwarder.cpp
+++ b/packages/upstream/forwarder.cpp
@@ -25,6 +25,7 @@
     case forward_failure::refused:
     case forward_failure::not_connected:
     case forward_failure::connection_limit:
+    case forward_failure::connection_not_allowed:
         return dispatch::failure::connect_failed;
     case forward_failure::nothing_written:
         return dispatch::failure::nothing_written;
@@ -86,16 +87,21 @@
 
 asio::awaitable<std::optional<forward_failure>> forwarder::open(const asio::ip::tcp::endpoint& address,
                                                                 core::instant deadline, core::instant now,
-                                                                const connection_numbers& excluded)
+                                                                const connection_filter& filter,
+                                                                const std::function<bool()>& may_reconnect)
 {
     core::check(!m_connection, "an exchange can open only one connection");
     m_address = address;
     m_deadline->set(deadline);
-    m_connection = m_pool.take_idle(address, now, excluded);
-    if (m_connection) {
+    idle_result idle = m_pool.take_idle(address, now, filter);
+    if (idle.handle) {
+        m_connection = std::move(idle.handle);
         m_is_reused = true;
         co_return std::nullopt;
     }
+    if (filter.opened_until || (idle.was_closed_early && may_reconnect && !may_reconnect())) {
+        co_return forward_failure::connection_not_allowed;
+    }
     m_connection = m_pool.create_connection(address);
     if (!m_connection) {
         co_return forward_failure::connection_limit;
@@ -110,10 +116,20 @@
         co_return error == asio::error::connection_refused ? forward_failure::refused
                                                            : forward_failure::not_connected;
     }
-    m_connection->set_socket_options();
+    m_connection->initialize(std::chrono::steady_clock::now());
     co_return std::nullopt;
 }
 
+asio::awaitable<std::optional<forward_failure>>
+forwarder::open(const asio::ip::tcp::endpoint& address, core::instant deadline, core::instant now)
+{
+    const connection_filter any_connection;
+    const std::function<bool()> always;
+    const std::optional<forward_failure> failed =
+        co_await open(address, deadline, now, any_connection, always);
+    co_return failed;
+}
+
 forward_failure forwarder::determine_failure() const
 {
     if (m_is_cancelled) {
--- a/packages/upstream/forwarder.h
+++ b/packages/upstream/forwarder.h
@@ -12,6 +12,7 @@
 #include <boost/asio/buffer.hpp>
 #include <boost/container/static_vector.hpp>
 
+#include <functional>
 #include <memory>
 #include <optional>
 
@@ -26,6 +27,8 @@
     not_connected,
     // The connection pool has reached its limit for the endpoint.
     connection_limit,
+    // No connection that the attempt may use was idle, and it may open none.
+    connection_not_allowed,
     // The connection was open and failed before a byte of the request was written.
     nothing_written,
     // At least one byte of the request was written, and the connection failed before the response header was
@@ -42,10 +45,11 @@
     cancelled,
 };
 
-inline constexpr core::name_table forward_failure_names{std::array<core::named_value<forward_failure>, 9>{{
+inline constexpr core::name_table forward_failure_names{std::array<core::named_value<forward_failure>, 10>{{
     {forward_failure::refused, "refused"},
     {forward_failure::not_connected, "not-connected"},
     {forward_failure::connection_limit, "connection-limit"},
+    {forward_failure::connection_not_allowed, "connection-not-allowed"},
     {forward_failure::nothing_written, "nothing-written"},
     {forward_failure::response_lost, "response-lost"},
     {forward_failure::response_timeout, "response-timeout"},
@@ -73,11 +77,16 @@
     forwarder(const forwarder&) = delete;
     forwarder& operator=(const forwarder&) = delete;
 
-    // Takes an idle connection that is not excluded from the pool or opens one. Returns the failure; no value
-    // on success. The deadline applies to every later step as well.
+    // Takes an idle connection that the filter allows from the pool or opens one. Returns the failure; no
+    // value on success. The deadline applies to every later step as well. may_reconnect is asked before a
+    // connection is opened in place of one that the endpoint has closed early; if it is empty, the answer is
+    // yes.
+    boost::asio::awaitable<std::optional<forward_failure>>
+    open(const boost::asio::ip::tcp::endpoint& address, core::instant deadline, core::instant now,
+         const connection_filter& filter, const std::function<bool()>& may_reconnect);
+    // Without a filter.
     boost::asio::awaitable<std::optional<forward_failure>> open(const boost::asio::ip::tcp::endpoint& address,
-                                                                core::instant deadline, core::instant now,
-                                                                const connection_numbers& excluded = {});
+                                                                core::instant deadline, core::instant now);
 
     // Changes the deadline for the steps that follow.
     void set_deadline(core::instant deadline) { m_deadline->set(deadline); }
@@ -114,6 +123,8 @@
     bool is_reused() const { return m_is_reused; }
     // Returns the number of the connection; valid after open() succeeded and until finish().
     std::uint64_t connection_number() const { return m_connection->number(); }
+    // Returns when the connection was opened; valid after open() succeeded and until finish().
+    core::instant connection_opened_at() const { return m_connection->opened_at(); }
     // Returns whether at least one byte of the request may have reached the upstream.
     bool has_written() const { return m_has_written; }
 
--- a/packages/upstream/tests/upstream_test.cpp
+++ b/packages/upstream/tests/upstream_test.cpp
@@ -64,7 +64,7 @@
         std::unique_ptr<upstream::connection> opened = pool->create_connection(address);
         CHECK(opened != nullptr);
         opened->socket().connect(address);
-        opened->set_socket_options();
+        opened->initialize(start);
         peers.push_back(std::make_shared<tcp::socket>(acceptor->accept()));
         pool->put_idle(address, std::move(opened), start);
     }
@@ -120,32 +120,57 @@
 TEST(upstream, connections_are_checked_before_reuse)
 {
     add_idle();
-    CHECK(pool->take_idle(address, start) != nullptr);
+    CHECK(pool->take_idle(address, start).handle != nullptr);
     add_idle();
     peers.back()->close();
-    CHECK(pool->take_idle(address, start) == nullptr);
+    CHECK(pool->take_idle(address, start).handle == nullptr);
     add_idle();
     asio::write(*peers.back(), asio::buffer("HTTP/1.1 200 OK\r\n", 17));
-    CHECK(pool->take_idle(address, start) == nullptr);
+    CHECK(pool->take_idle(address, start).handle == nullptr);
     add_idle();
-    CHECK(pool->take_idle(address, start + options.idle_lifetime) == nullptr);
+    CHECK(pool->take_idle(address, start + options.idle_lifetime).handle == nullptr);
     // The connection that was taken is still counted.
     LONGS_EQUAL(1, pool->open_connections(address));
 }
 
+// Guards against an endpoint whose end goes unnoticed because a new connection replaces those that it has
+// closed, and against taking the end of a long idle connection for the end of the endpoint.
+TEST(upstream, a_connection_that_is_closed_early_is_reported)
+{
+    add_idle();
+    peers.back()->close();
+    CHECK_TRUE(pool->take_idle(address, start + std::chrono::seconds(1)).was_closed_early);
+    add_idle();
+    peers.back()->close();
+    CHECK_FALSE(pool->take_idle(address, start + options.min_keep_alive).was_closed_early);
+    add_idle();
+    CHECK_FALSE(pool->take_idle(address, start + std::chrono::seconds(1)).was_closed_early);
+}
+
+// Guards against an attempt that may use only connections opened before a time and gets another one.
+TEST(upstream, a_filter_by_time_leaves_newer_connections_in_the_pool)
+{
+    add_idle();
+    CHECK_FALSE(pool->has_idle(address, start - std::chrono::milliseconds(1)));
+    CHECK_TRUE(pool->has_idle(address, start));
+    CHECK(pool->take_idle(address, start, {{}, start - std::chrono::milliseconds(1)}).handle == nullptr);
+    CHECK(pool->take_idle(address, start, {{}, start}).handle != nullptr);
+}
+
 // Guards against giving a request a connection that an earlier attempt of it used, and against losing that
 // connection for other requests.
 TEST(upstream, excluded_connections_stay_in_the_pool)
 {
     add_idle();
     add_idle();
-    std::unique_ptr<upstream::connection> last = pool->take_idle(address, start);
+    std::unique_ptr<upstream::connection> last = pool->take_idle(address, start).handle;
     const upstream::connection_numbers excluded{last->number()};
     pool->put_idle(address, std::move(last), start);
-    const std::unique_ptr<upstream::connection> other = pool->take_idle(address, start, excluded);
+    const std::unique_ptr<upstream::connection> other =
+        pool->take_idle(address, start, {excluded, {}}).handle;
     CHECK(other != nullptr && other->number() != excluded.front());
-    CHECK(pool->take_idle(address, start, excluded) == nullptr);
-    last = pool->take_idle(address, start);
+    CHECK(pool->take_idle(address, start, {excluded, {}}).handle == nullptr);
+    last = pool->take_idle(address, start).handle;
     CHECK(last != nullptr && last->number() == excluded.front());
     LONGS_EQUAL(2, pool->open_connections(address));
 }
