Edge: Limit requests that may reach a new start of an endpoint

Cause: an endpoint counted as cold only once its new record had arrived, 0.04 to 0.65 s after the start, or not at all while the store was down, and the sends before the record were forgotten when it came.

Change: requests reach a new start over new connections only. A connection that breaks off, is refused or is closed early, and a response from another endpoint, tell that the endpoint may have ended. From then on, requests over connections opened since the last confirmation count against the instance's share of the limit. A response over an older connection, or over one older than the cold time, confirms the endpoint. While the records are not up to date, an instance without a connection to the endpoint is limited as well. The sends of the last second are always counted, so that they are known when a record tells of a restart or of an endpoint that has become cold again.

Their fixture now also says up to when discovery is complete. The test of the cold limit asks the function that replaces the one it asked.

--- a/packages/edge/endpoint_balancer.cpp
+++ b/packages/edge/endpoint_balancer.cpp
@@ -4,6 +4,7 @@
 
 #include "core/log_event.h"
 #include "core/stable_hash.h"
+#include "placement/incarnation_check.h"
 
 #include <algorithm>
 #include <cmath>
@@ -45,6 +46,8 @@
           metrics.get_counter("upstream_spilled_total",
                               "Requests sent to another endpoint than the first choice of their object.")),
       m_ejections(metrics.get_counter("upstream_ejections_total", "Endpoints passed over after failures.")),
+      m_interruptions(metrics.get_counter("upstream_interruptions_total",
+                                          "Failures after which an endpoint may have started anew.")),
       m_leaving(metrics.get_counter("upstream_leaving_total",
                                     "Endpoints that said in a response that they are leaving.")),
       m_waits(metrics.get_counter("upstream_waits_total",
@@ -83,13 +86,36 @@
         .with("sent_last_second", about.recent_send_times.size());
 }
 
-placement::cold_limit endpoint_balancer::compute_cold_limit(const routing::service* service_config) const
+void endpoint_balancer::set_idle_connection_hook(idle_connection_hook has_idle_connection)
+{
+    m_has_idle_connection = std::move(has_idle_connection);
+}
+
+void endpoint_balancer::record_discovery(core::instant complete_until)
+{
+    const std::lock_guard<std::mutex> guard(m_mutex);
+    m_discovered_until = std::max(m_discovered_until, complete_until);
+}
+
+bool endpoint_balancer::is_discovery_current(core::instant now) const
+{
+    return now - m_discovered_until <= m_options.max_discovery_age && now >= m_discovery_settled_at;
+}
+
+const routing::service* endpoint_balancer::find_service(const placement::endpoint& target) const
+{
+    return m_table ? m_table->find_service(target.record.service) : nullptr;
+}
+
+placement::cold_limit endpoint_balancer::compute_cold_limit(const routing::service* service_config,
+                                                            core::instant now) const
 {
     if (service_config == nullptr || service_config->cold_rate <= 0) {
         return {};
     }
     return {(service_config->cold_rate * m_options.cold_rate_factor + m_options.cold_rate_slack) *
-            m_options.cold_limit_utilization};
+                m_options.cold_limit_utilization,
+            is_discovery_current(now)};
 }
 
 placement::endpoint_selection_request endpoint_balancer::make_criteria(const attempt_request& request) const
@@ -102,7 +128,7 @@
     result.tried_endpoint_ids = request.tried;
     result.is_repeatable = request.route->is_repeatable;
     result.skips_rate_limited = request.skips_rate_limited;
-    result.cold = compute_cold_limit(request.service_config);
+    result.has_idle_connection = m_has_idle_connection;
     return result;
 }
 
@@ -118,6 +144,7 @@
     };
 
     const std::lock_guard<std::mutex> guard(m_mutex);
+    criteria.cold = compute_cold_limit(request.service_config, now);
     m_catalog.remove_missing(now);
     const std::map<std::string, placement::region_weights>::const_iterator weights =
         m_region_weights.find(*request.service);
@@ -156,8 +183,9 @@
     (has_token ? m_tokens_granted : token_wait ? m_tokens_refused : m_tokens_unanswered).add();
     // It may have begun to leave, or another request may have used up its cold limit, since it was chosen.
     if (!has_token || !placement::may_receive(target) ||
-        !placement::may_send_within_cold_limit(target, compute_cold_limit(request.service_config), m_position,
-                                               now)) {
+        !placement::find_send_permission(target, compute_cold_limit(request.service_config, now), m_position,
+                                         now)
+             .is_granted) {
         return std::nullopt;
     }
     return begin_send(chosen.target, request, now);
@@ -166,12 +194,17 @@
 caller::endpoint_lease endpoint_balancer::begin_send(const endpoint_pointer& target,
                                                      const attempt_request& request, core::instant now)
 {
+    const placement::send_permission permission = placement::find_send_permission(
+        *target, compute_cold_limit(request.service_config, now), m_position, now);
     m_sends.add();
     ++target->outstanding_requests;
     ++target->sent_requests;
-    placement::record_cold_request(*target, now);
     placement::record_send(*target, now);
-    return make_lease(target, request, now);
+    caller::endpoint_lease lease = make_lease(target, request, now);
+    if (permission.opened_until) {
+        lease.restrict_to_connections(*permission.opened_until);
+    }
+    return lease;
 }
 
 core::duration endpoint_balancer::compute_retry_after(const attempt_request& request,
@@ -211,6 +244,12 @@
         [this, target, id = std::string(request.request_id)](const caller::attempt_result& result) {
             release(target, id, result);
         });
+    lease.set_reconnect_check(
+        [this, target, id = std::string(request.request_id)] { return confirm_reconnect(target, id); });
+    lease.set_connection_handler([this, target, now](core::instant opened_at) {
+        const std::lock_guard<std::mutex> guard(m_mutex);
+        placement::record_connection(*target, now, opened_at);
+    });
     core::debug_event("endpoint_chosen")
         .with("request_id", request.request_id)
         .with("endpoint", target->record.id)
@@ -219,6 +258,30 @@
     return lease;
 }
 
+bool endpoint_balancer::confirm_reconnect(const endpoint_pointer& target, const std::string& request_id)
+{
+    const core::instant now = std::chrono::steady_clock::now();
+    const std::lock_guard<std::mutex> guard(m_mutex);
+    record_interruption(*target, request_id, "idle-connection-closed", now);
+    return placement::may_reconnect(*target, compute_cold_limit(find_service(*target), now), m_position, now);
+}
+
+void endpoint_balancer::record_interruption(placement::endpoint& target, std::string_view request_id,
+                                            std::string_view cause, core::instant now)
+{
+    const bool is_news = !placement::may_have_ended(target, is_discovery_current(now), now);
+    placement::record_interruption(target, now);
+    if (!is_news) {
+        return;
+    }
+    m_interruptions.add();
+    core::info_event("endpoint_interrupted")
+        .with("request_id", request_id)
+        .with("endpoint", target.record.id)
+        .with("cause", cause)
+        .with("confirmed_ms_ago", core::to_milliseconds(now - target.confirmed_at));
+}
+
 attempt_outcome endpoint_balancer::classify_attempt(const caller::attempt_result& result)
 {
     using dispatch::failure;
@@ -279,6 +342,7 @@
             .with("endpoint", target->record.id)
             .with("for_ms", core::to_milliseconds(*result.wait));
     }
+    record_incarnation_evidence(*target, request_id, result, outcome, sent, now);
     const bool is_ejected =
         placement::record_outcome(*target, outcome, sent, result.time_to_header, m_options.health, now);
     if (is_ejected) {
@@ -292,6 +356,22 @@
     }
 }
 
+void endpoint_balancer::record_incarnation_evidence(placement::endpoint& target,
+                                                    const std::string& request_id,
+                                                    const caller::attempt_result& result,
+                                                    attempt_outcome outcome, core::instant sent,
+                                                    core::instant now)
+{
+    if (placement::suggests_end(outcome)) {
+        record_interruption(target, request_id, placement::attempt_outcome_names.name(outcome), now);
+        return;
+    }
+    const routing::service* service_config = find_service(target);
+    if (result.status != 0 && outcome != attempt_outcome::inconclusive && service_config != nullptr) {
+        placement::record_response(target, result.connection_opened_at, sent, service_config->cold_duration);
+    }
+}
+
 void endpoint_balancer::update_rate_limit(placement::endpoint& target, const std::string& request_id,
                                           double rate_limit)
 {
@@ -325,6 +405,7 @@
 {
     const std::lock_guard<std::mutex> guard(m_mutex);
     m_catalog.begin_removal_grace_period(now);
+    m_discovery_settled_at = now + m_options.catalog.removal_grace_period;
 }
 
 void endpoint_balancer::set_evacuated_zones(const std::set<std::string>& zones, core::instant now)
--- a/packages/edge/endpoint_balancer.h
+++ b/packages/edge/endpoint_balancer.h
@@ -36,6 +36,9 @@
     double cold_rate_slack = 0;
     // Fraction of that limit that the instances use.
     double cold_limit_utilization = 0.85;
+    // How old the last confirmation of the endpoints' records may be. It covers the change of the peer that
+    // confirms them.
+    core::duration max_discovery_age = std::chrono::milliseconds(2150);
     // Retry-after time given to callers when no endpoint can take the request.
     core::duration busy_retry_after = std::chrono::milliseconds(60);
     // The time over which callers return after all endpoints of a service have asked for no request.
@@ -71,10 +74,15 @@
 {
 public:
     using fleet_position_hook = std::function<placement::fleet_view()>;
+    // Returns whether an idle connection to the endpoint was opened at the given time or before.
+    using idle_connection_hook = std::function<bool(const placement::endpoint&, core::instant opened_until)>;
 
     endpoint_balancer(balancer_options options, fleet_position_hook get_fleet_position,
                       burn::metrics_registry& metrics);
 
+    // Called before the first request. Without this hook there are no idle connections.
+    void set_idle_connection_hook(idle_connection_hook has_idle_connection);
+
     endpoint_balancer(const endpoint_balancer&) = delete;
     endpoint_balancer& operator=(const endpoint_balancer&) = delete;
 
@@ -98,6 +106,8 @@
     void apply(const placement::endpoint_record& record, bool is_first_listing, core::instant now);
     void remove(const std::string& id, core::instant now);
     void begin_removal_grace_period(core::instant now);
+    // Records the time up to which the announced changes are complete.
+    void record_discovery(core::instant complete_until);
     void set_evacuated_zones(const std::set<std::string>& zones, core::instant now);
     void set_table(std::shared_ptr<const routing::route_table> table);
 
@@ -111,12 +121,19 @@
     std::size_t size() const;
 
 private:
-    placement::cold_limit compute_cold_limit(const routing::service* service_config) const;
+    placement::cold_limit compute_cold_limit(const routing::service* service_config, core::instant now) const;
+    bool is_discovery_current(core::instant now) const;
+    const routing::service* find_service(const placement::endpoint& target) const;
     core::duration compute_retry_after(const attempt_request& request,
                                        const placement::endpoint_selection& chosen) const;
     void log_no_endpoint(const attempt_request& request, const placement::endpoint_selection& chosen,
                          core::instant now);
     placement::endpoint_selection_request make_criteria(const attempt_request& request) const;
+    // Records that the endpoint has closed idle connections early, and returns whether a new one may be
+    // opened.
+    bool confirm_reconnect(const placement::endpoint_pointer& target, const std::string& request_id);
+    void record_interruption(placement::endpoint& target, std::string_view request_id, std::string_view cause,
+                             core::instant now);
     // Counts a send to the endpoint and returns its lease.
     caller::endpoint_lease begin_send(const placement::endpoint_pointer& target,
                                       const attempt_request& request, core::instant now);
@@ -124,6 +141,10 @@
                                       const attempt_request& request, core::instant now);
     void release(const placement::endpoint_pointer& target, const std::string& request_id,
                  const caller::attempt_result& result);
+    // Records what the result of an attempt tells of whether the endpoint has started anew.
+    void record_incarnation_evidence(placement::endpoint& target, const std::string& request_id,
+                                     const caller::attempt_result& result, placement::attempt_outcome outcome,
+                                     core::instant sent, core::instant now);
     void update_rate_limit(placement::endpoint& target, const std::string& request_id, double rate_limit);
     void detect_slow_endpoints(const std::vector<placement::endpoint_pointer>& endpoints, core::instant now);
     void update_region_weights(const std::string& service,
@@ -133,9 +154,11 @@
 
     balancer_options m_options;
     fleet_position_hook m_get_fleet_position;
+    idle_connection_hook m_has_idle_connection;
     burn::counter& m_sends;
     burn::counter& m_spilled;
     burn::counter& m_ejections;
+    burn::counter& m_interruptions;
     burn::counter& m_leaving;
     burn::counter& m_waits;
     burn::counter& m_limit_changes;
@@ -148,6 +171,10 @@
     std::shared_ptr<const routing::route_table> m_table;
     placement::endpoint_catalog m_catalog;
     placement::fleet_view m_position;
+    // The announced changes are complete up to this time.
+    core::instant m_discovered_until;
+    // Until this time, records that expired during an outage of the store may still come back.
+    core::instant m_discovery_settled_at;
     // The weights of regions for requests that may run in any of them, by service.
     std::map<std::string, placement::region_weights> m_region_weights;
     std::vector<placement::home_region_demand> m_homed_demand;
--- a/packages/edge/instance.cpp
+++ b/packages/edge/instance.cpp
@@ -121,6 +121,11 @@
     upstream::connection_pool_options pool_options;
     pool_options.idle_lifetime = idle_connection_lifetime;
     m_pool = std::make_shared<upstream::connection_pool>(m_request_context.get_executor(), pool_options);
+    m_balancer.set_idle_connection_hook(
+        [this](const placement::endpoint& target, core::instant opened_until) {
+            return m_pool->has_idle({asio::ip::make_address(target.record.host), target.record.port},
+                                    opened_until);
+        });
     caller::proxy_options options;
     options.profile = m_deployment.profile;
     options.connect_timeout = endpoint_connect_timeout;
--- a/packages/edge/store_watcher.cpp
+++ b/packages/edge/store_watcher.cpp
@@ -170,6 +170,7 @@
 void store_watcher::on_confirmed(core::boot_instant sent)
 {
     m_targets.state.confirm(sent);
+    m_targets.balancer.record_discovery(current_time() - (core::boot_clock::now() - sent));
     if (m_settled_at != core::instant() && current_time() >= m_settled_at) {
         m_settled_at = core::instant();
         apply_deferred();
--- a/packages/edge/tests/restarted_endpoint_test.cpp
+++ b/packages/edge/tests/restarted_endpoint_test.cpp
@@ -90,6 +90,7 @@
             added.balancer->set_table(table);
             added.balancer->update_periodically(start);
             added.balancer->apply(make_record(1), true, start - seconds(60));
+            added.balancer->record_discovery(start);
         }
     }
 
--- a/packages/placement/cold_start.cpp
+++ b/packages/placement/cold_start.cpp
@@ -3,8 +3,10 @@
 #include "placement/cold_start.h"
 
 #include "core/stable_hash.h"
+#include "placement/incarnation_check.h"
 
 #include <algorithm>
+#include <deque>
 
 namespace quetzalspan::placement
 {
@@ -30,37 +32,73 @@
     return even_count + (rendezvous_rank(target.id_hash, fleet) < remainder ? 1 : 0);
 }
 
-bool may_send_within_cold_limit(endpoint& target, const cold_limit& limit, const fleet_view& fleet,
-                                core::instant now)
+void remove_old_sends(endpoint& target, core::instant now)
 {
-    if (now >= target.cold_until || limit.fleet_rate <= 0) {
-        target.cold_send_times.clear();
-        return true;
-    }
-    while (!target.cold_send_times.empty() && now - target.cold_send_times.front() >= cold_window) {
-        target.cold_send_times.pop_front();
+    for (std::deque<core::instant>* times : {&target.recent_send_times, &target.unconfirmed_send_times}) {
+        while (!times->empty() && now - times->front() >= cold_window) {
+            times->pop_front();
+        }
     }
-    return target.cold_send_times.size() < compute_max_cold_requests(target, limit, fleet);
 }
 
-void record_cold_request(endpoint& target, core::instant now)
+namespace
+{
+
+// Returns whether a request over a new connection may reach a cold incarnation of the endpoint.
+bool is_limited(const endpoint& target, const cold_limit& limit, core::instant now)
+{
+    return limit.fleet_rate > 0 &&
+           (now < target.cold_until || may_have_ended(target, limit.is_discovery_current, now) ||
+            (!limit.is_discovery_current && target.outstanding_requests == 0));
+}
+
+// Returns the number of requests of the last second that may have reached the present incarnation.
+std::size_t count_sends(endpoint& target, core::instant now)
+{
+    remove_old_sends(target, now);
+    return now < target.cold_until ? target.recent_send_times.size() : target.unconfirmed_send_times.size();
+}
+
+} // namespace
+
+send_permission find_send_permission(endpoint& target, const cold_limit& limit, const fleet_view& fleet,
+                                     core::instant now)
 {
+    if (!is_limited(target, limit, now) ||
+        count_sends(target, now) < compute_max_cold_requests(target, limit, fleet)) {
+        return {};
+    }
     if (now < target.cold_until) {
-        target.cold_send_times.push_back(now);
+        return {false, std::nullopt};
     }
+    // Without a sign that the endpoint has ended, an idle connection that still works goes to the known
+    // incarnation.
+    return {true, may_have_ended(target, limit.is_discovery_current, now) ? target.confirmed_at : now};
 }
 
-void remove_old_sends(endpoint& target, core::instant now)
+bool may_reconnect(endpoint& target, const cold_limit& limit, const fleet_view& fleet, core::instant now)
 {
-    while (!target.recent_send_times.empty() && now - target.recent_send_times.front() >= cold_window) {
-        target.recent_send_times.pop_front();
-    }
+    return limit.fleet_rate <= 0 ||
+           count_sends(target, now) <= compute_max_cold_requests(target, limit, fleet);
 }
 
 void record_send(endpoint& target, core::instant now)
 {
     remove_old_sends(target, now);
     target.recent_send_times.push_back(now);
+    target.unconfirmed_send_times.push_back(now);
+}
+
+void record_connection(endpoint& target, core::instant sent, core::instant connection_opened)
+{
+    if (connection_opened > target.confirmed_at) {
+        return;
+    }
+    const std::deque<core::instant>::iterator found =
+        std::find(target.unconfirmed_send_times.begin(), target.unconfirmed_send_times.end(), sent);
+    if (found != target.unconfirmed_send_times.end()) {
+        target.unconfirmed_send_times.erase(found);
+    }
 }
 
 } // namespace quetzalspan::placement
--- a/packages/placement/cold_start.h
+++ b/packages/placement/cold_start.h
@@ -1,12 +1,14 @@
 // Limits the requests that a cold endpoint receives from all instances together. An endpoint is cold after it
 // starts or after the evacuation of its zone ends, until endpoint::cold_until. The instances exchange no
-// messages for this: each one computes a fixed share of the requests that the endpoint tolerates.
+// messages for this: each one computes a fixed share of the requests that the endpoint tolerates. The same
+// limit holds for requests that may reach an incarnation of which this instance has not heard.
 
 #pragma once
 
 #include "placement/endpoint.h"
 
 #include <cstdint>
+#include <optional>
 #include <vector>
 
 namespace quetzalspan::placement
@@ -20,6 +22,15 @@
     // Requests per second that a cold endpoint of the service may receive from the whole fleet. 0 means no
     // limit; other values below 1 count as 1.
     double fleet_rate = 0;
+    // Whether service discovery is current, so that a new incarnation is heard of soon.
+    bool is_discovery_current = false;
+};
+
+// Whether and how a request may be sent to an endpoint.
+struct send_permission {
+    bool is_granted = true;
+    // If there is a value, only over an idle connection that was opened at this time or before.
+    std::optional<core::instant> opened_until;
 };
 
 // The instances of the fleet as this instance knows them. The hash of an instance stays the same when it
@@ -36,18 +47,22 @@
 std::uint32_t compute_max_cold_requests(const endpoint& target, const cold_limit& limit,
                                         const fleet_view& fleet);
 
-// Returns whether the endpoint is warm, has no limit, or may receive another request from this instance now.
-// Removes outdated entries of cold_send_times.
-bool may_send_within_cold_limit(endpoint& target, const cold_limit& limit, const fleet_view& fleet,
-                                core::instant now);
+// Returns how this instance may send a request to the endpoint now. Removes outdated send times.
+send_permission find_send_permission(endpoint& target, const cold_limit& limit, const fleet_view& fleet,
+                                     core::instant now);
 
-// Counts a request that is sent now against the limit. Does nothing if the endpoint is warm.
-void record_cold_request(endpoint& target, core::instant now);
+// Returns whether a connection may be opened for a request that was counted already, after the endpoint has
+// closed the connections that the request was to use.
+bool may_reconnect(endpoint& target, const cold_limit& limit, const fleet_view& fleet, core::instant now);
 
-// Records a request that is sent now.
+// Counts a request that is sent now against the limit. Requests to warm endpoints count as well, since an
+// endpoint may have become cold shortly before this instance hears of it.
 void record_send(endpoint& target, core::instant now);
 
-// Removes the times that are further back than cold_window from recent_send_times.
+// Records over which connection the request that was sent at the given time goes.
+void record_connection(endpoint& target, core::instant sent, core::instant connection_opened);
+
+// Removes the send times that are further back than cold_window.
 void remove_old_sends(endpoint& target, core::instant now);
 
 // Returns the rank of this instance in the fleet by rendezvous hashing of the key; 0 is the first. Instances
--- a/packages/placement/endpoint.h
+++ b/packages/placement/endpoint.h
@@ -38,11 +38,17 @@
     std::uint64_t sent_requests = 0;
 
     core::instant cold_until;
-    // Times of recent requests that were sent while the endpoint was cold; no more than this instance's share
-    // of the cold limit.
-    std::deque<core::instant> cold_send_times;
-    // Times at which this instance sent requests to the id, to any incarnation, within the last cold_window.
+    // Times at which this instance sent requests to the id within the last cold_window, also to former
+    // incarnations.
     std::deque<core::instant> recent_send_times;
+    // Those of them that were not over a connection to the confirmed incarnation.
+    std::deque<core::instant> unconfirmed_send_times;
+
+    // The incarnation that ran at this time is the one of the record, or was warm. It is at the other end of
+    // every connection opened before that still works.
+    core::instant confirmed_at;
+    // When a connection to it last failed in a way that its end would explain; no value if none has.
+    std::optional<core::instant> interrupted_at;
 
     // Failures since the last success or ejection.
     std::uint32_t consecutive_failures = 0;
--- a/packages/placement/endpoint_catalog.cpp
+++ b/packages/placement/endpoint_catalog.cpp
@@ -60,6 +60,7 @@
     added->record = record;
     added->id_hash = core::stable_hash(record.id);
     added->known_since = now;
+    added->confirmed_at = now;
     const std::map<std::string, std::uint64_t>::const_iterator left = m_left_incarnations.find(record.id);
     added->is_leaving = left != m_left_incarnations.end() && record.incarnation <= left->second;
     added->is_evacuated = m_evacuated_zones.contains(record.availability_zone);
@@ -68,6 +69,7 @@
         added->cold_until =
             now + std::max(record.remaining_cold_time, m_hooks.get_cold_duration(record.service));
     }
+    restore_send_times(*added, now);
     m_endpoints.emplace(record.id, added);
     add_to_service(added);
     notify_change(catalog_change::added, *added);
@@ -84,11 +86,9 @@
         // Requests to the previous incarnation keep a reference to its object.
         m_endpoints.erase(record.id);
         existing.is_removed = true;
+        keep_send_times(existing, now);
         add(record, now, false);
-        endpoint& present = *m_endpoints.at(record.id);
-        present.recent_send_times = existing.recent_send_times;
-        remove_old_sends(present, now);
-        notify_change(catalog_change::restarted, present);
+        notify_change(catalog_change::restarted, *m_endpoints.at(record.id));
         return;
     }
     existing.record = record;
@@ -107,7 +107,7 @@
         return;
     }
     if (now >= m_grace_until) {
-        erase(existing);
+        erase(existing, now);
         return;
     }
     existing->second->is_missing = true;
@@ -125,7 +125,7 @@
          entry != m_endpoints.end();) {
         const std::map<std::string, endpoint_pointer>::iterator current = entry++;
         if (current->second->is_missing) {
-            erase(current);
+            erase(current, now);
         }
     }
 }
@@ -151,9 +151,35 @@
     m_left_incarnations[removed.record.id] = removed.record.incarnation;
 }
 
-void endpoint_catalog::erase(std::map<std::string, endpoint_pointer>::iterator entry)
+void endpoint_catalog::keep_send_times(endpoint& former, core::instant now)
+{
+    std::erase_if(m_former_send_times,
+                  [now](const std::pair<const std::string, std::deque<core::instant>>& entry) {
+                      return now - entry.second.back() >= cold_window;
+                  });
+    remove_old_sends(former, now);
+    if (!former.unconfirmed_send_times.empty()) {
+        m_former_send_times[former.record.id] = former.unconfirmed_send_times;
+    }
+}
+
+void endpoint_catalog::restore_send_times(endpoint& added, core::instant now)
+{
+    const std::map<std::string, std::deque<core::instant>>::iterator found =
+        m_former_send_times.find(added.record.id);
+    if (found == m_former_send_times.end()) {
+        return;
+    }
+    added.recent_send_times = found->second;
+    added.unconfirmed_send_times = std::move(found->second);
+    remove_old_sends(added, now);
+    m_former_send_times.erase(found);
+}
+
+void endpoint_catalog::erase(std::map<std::string, endpoint_pointer>::iterator entry, core::instant now)
 {
     const endpoint_pointer removed = entry->second;
+    keep_send_times(*removed, now);
     remember_if_leaving(*removed);
     remove_from_service(*removed);
     m_endpoints.erase(entry);
--- a/packages/placement/endpoint_catalog.h
+++ b/packages/placement/endpoint_catalog.h
@@ -6,6 +6,7 @@
 #include "core/name_table.h"
 #include "placement/endpoint.h"
 
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -103,7 +104,10 @@
     void add(const endpoint_record& record, core::instant now, bool is_first_listing);
     void update(endpoint& existing, const endpoint_record& record, core::instant now);
     void remember_if_leaving(const endpoint& removed);
-    void erase(std::map<std::string, endpoint_pointer>::iterator entry);
+    // Keeps the sends that may have reached the next incarnation of an endpoint until it is added.
+    void keep_send_times(endpoint& former, core::instant now);
+    void restore_send_times(endpoint& added, core::instant now);
+    void erase(std::map<std::string, endpoint_pointer>::iterator entry, core::instant now);
     void add_to_service(const endpoint_pointer& added);
     void remove_from_service(const endpoint& removed);
     void notify_change(catalog_change change, const endpoint& subject) const;
@@ -115,6 +119,9 @@
     // The incarnations that were leaving when they were removed, by id. A record of one of them may come
     // back, for example after an outage of the record store.
     std::map<std::string, std::uint64_t> m_left_incarnations;
+    // The recent sends to endpoints that were removed, by id. An endpoint that starts anew may be removed
+    // before its new record arrives.
+    std::map<std::string, std::deque<core::instant>> m_former_send_times;
     // Keyed by the name of the service; each list is sorted by id.
     std::map<std::string, std::vector<endpoint_pointer>, std::less<>> m_services;
     std::set<std::string> m_evacuated_zones;
--- a/packages/placement/endpoint_health.cpp
+++ b/packages/placement/endpoint_health.cpp
@@ -51,6 +51,24 @@
 
 } // namespace
 
+bool suggests_end(attempt_outcome outcome)
+{
+    switch (outcome) {
+    case attempt_outcome::unreachable:
+    case attempt_outcome::response_lost:
+    case attempt_outcome::misdirected:
+        return true;
+    // A busy endpoint looks the same. If it has ended, connections to it fail when they are next used.
+    case attempt_outcome::timed_out:
+    case attempt_outcome::success:
+    case attempt_outcome::server_error:
+    case attempt_outcome::shed:
+    case attempt_outcome::inconclusive:
+        return false;
+    }
+    return false;
+}
+
 bool record_outcome(endpoint& target, attempt_outcome outcome, core::instant sent, core::duration latency,
                     const health_options& options, core::instant now)
 {
--- a/packages/placement/endpoint_health.h
+++ b/packages/placement/endpoint_health.h
@@ -38,6 +38,9 @@
     {attempt_outcome::inconclusive, "nothing-learned"},
 }}};
 
+// Returns whether the outcome suggests that the endpoint has ended.
+bool suggests_end(attempt_outcome outcome);
+
 // The defaults balance two errors: a healthy endpoint that is passed over no longer serves the objects that
 // it has recently handled, and a failing endpoint costs each request that is sent to it an attempt.
 struct health_options {
--- a/packages/placement/endpoint_selection.cpp
+++ b/packages/placement/endpoint_selection.cpp
@@ -43,7 +43,10 @@
                               const fleet_view& fleet, const endpoint_selection_options& options,
                               core::instant now)
 {
-    if (!may_send_within_cold_limit(candidate, request.cold, fleet, now)) {
+    const send_permission permission = find_send_permission(candidate, request.cold, fleet, now);
+    if (!permission.is_granted ||
+        (permission.opened_until && !(request.has_idle_connection &&
+                                      request.has_idle_connection(candidate, *permission.opened_until)))) {
         return penalty_level::unavailable;
     }
     if (now < candidate.ejected_until) {
--- a/packages/placement/endpoint_selection.h
+++ b/packages/placement/endpoint_selection.h
@@ -67,6 +67,9 @@
     // Whether endpoints with a rate limit are left out.
     bool skips_rate_limited = false;
     cold_limit cold;
+    // Returns whether an idle connection to the endpoint was opened at the time or before. Empty if there is
+    // no idle connection to any endpoint.
+    std::function<bool(const endpoint&, core::instant opened_until)> has_idle_connection;
 };
 
 enum class endpoint_selection_error {
--- a/packages/placement/tests/catalog_test.cpp
+++ b/packages/placement/tests/catalog_test.cpp
@@ -2,6 +2,8 @@
 
 #include "placement/endpoint_catalog.h"
 
+#include "placement/cold_start.h"
+
 #include <CppUTest/TestHarness.h>
 
 using namespace quetzalspan;
@@ -76,6 +78,47 @@
     CHECK_EQUAL(1U, endpoints.find_service("orders").size());
 }
 
+// Guards against a new incarnation that gets an instance's whole share of the cold limit on top of what it
+// got before its record arrived, also if the former record was deleted in between.
+TEST(endpoint_catalog, requests_sent_before_the_record_of_a_restart_count_against_its_limit)
+{
+    const cold_limit limit{2, true};
+    const fleet_view single_instance{1, {7}, 7};
+    for (const bool is_removed_first : {false, true}) {
+        const std::string id = is_removed_first ? "a" : "b";
+        endpoints.apply(make_record(id, 10, 50), at_ms(0), true);
+        for (const int sent : {5000, 5200}) {
+            CHECK_TRUE(
+                find_send_permission(*endpoints.find(id), limit, single_instance, at_ms(sent)).is_granted);
+            record_send(*endpoints.find(id), at_ms(sent));
+        }
+        if (is_removed_first) {
+            endpoints.remove(id, at_ms(5300));
+        }
+        endpoints.apply(make_record(id, 11, 1), at_ms(5400), false);
+        const endpoint_pointer present = endpoints.find(id);
+        CHECK_FALSE(find_send_permission(*present, limit, single_instance, at_ms(5400)).is_granted);
+        CHECK_FALSE(find_send_permission(*present, limit, single_instance, at_ms(6100)).is_granted);
+        CHECK_TRUE(find_send_permission(*present, limit, single_instance, at_ms(6200)).is_granted);
+    }
+}
+
+// Guards against a flood of an endpoint that has become cold without a restart shortly before its record says
+// so.
+TEST(endpoint_catalog, requests_sent_before_an_endpoint_became_cold_again_count_against_its_limit)
+{
+    const cold_limit limit{2, true};
+    const fleet_view single_instance{1, {7}, 7};
+    endpoints.apply(make_record("a", 10, 1), at_ms(0), true);
+    record_send(*endpoints.find("a"), at_ms(5000));
+    record_send(*endpoints.find("a"), at_ms(5100));
+    record_connection(*endpoints.find("a"), at_ms(5100), at_ms(0));
+    endpoint_record cold_again = make_record("a", 10, 2);
+    cold_again.remaining_cold_time = seconds(2);
+    endpoints.apply(cold_again, at_ms(5300), false);
+    CHECK_FALSE(find_send_permission(*endpoints.find("a"), limit, single_instance, at_ms(5300)).is_granted);
+}
+
 // Guards against new requests to an endpoint that has said in a response that it is leaving, while its record
 // does not tell yet; also after its record was lost with the store and came back.
 TEST(endpoint_catalog, an_endpoint_that_said_it_leaves_receives_nothing_until_it_starts_anew)
--- a/packages/placement/tests/endpoint_selection_test.cpp
+++ b/packages/placement/tests/endpoint_selection_test.cpp
@@ -259,15 +259,19 @@
 {
     endpoint target;
     target.cold_until = start + seconds(5);
-    const cold_limit limit{2};
+    const cold_limit limit{2, true};
     const fleet_view single_instance{1, {7}, 7};
+    const auto is_any_connection_granted = [&](core::instant now) {
+        const send_permission permission = find_send_permission(target, limit, single_instance, now);
+        return permission.is_granted && !permission.opened_until;
+    };
     for (const int sent : {0, 400}) {
-        CHECK_TRUE(may_send_within_cold_limit(target, limit, single_instance, start + milliseconds(sent)));
-        record_cold_request(target, start + milliseconds(sent));
+        CHECK_TRUE(is_any_connection_granted(start + milliseconds(sent)));
+        record_send(target, start + milliseconds(sent));
     }
-    CHECK_FALSE(may_send_within_cold_limit(target, limit, single_instance, start + milliseconds(1000)));
-    CHECK_TRUE(may_send_within_cold_limit(target, limit, single_instance, start + milliseconds(1200)));
-    CHECK_TRUE(may_send_within_cold_limit(target, limit, single_instance, start + seconds(5)));
+    CHECK_FALSE(find_send_permission(target, limit, single_instance, start + milliseconds(1000)).is_granted);
+    CHECK_TRUE(is_any_connection_granted(start + milliseconds(1200)));
+    CHECK_TRUE(is_any_connection_granted(start + seconds(5)));
 }
 
 TEST_GROUP(endpoint_health)
