Upstream: Report early closed connections also if none may be opened

An attempt that was limited to older connections, and found them all closed, dropped the only sign that the endpoint had ended. It is reported now. The check whether an endpoint has ended used up an idle connection and closed it; it now looks at the idle connections and leaves them in the pool.

--- a/packages/caller/endpoint_lease.cpp
+++ b/packages/caller/endpoint_lease.cpp
@@ -35,10 +35,10 @@
     release(attempt_result());
 }
 
-void endpoint_lease::report_connection(core::instant opened_at) const
+void endpoint_lease::report_connection(core::instant opened_at, core::instant now) const
 {
     if (m_on_connection) {
-        m_on_connection(opened_at);
+        m_on_connection(opened_at, now);
     }
 }
 
--- a/packages/caller/endpoint_lease.h
+++ b/packages/caller/endpoint_lease.h
@@ -53,8 +53,8 @@
     // Returns whether a connection may be opened now in place of one that the endpoint has closed early.
     using reconnect_function = std::function<bool()>;
 
-    // Called with the time at which the connection of the attempt was opened, before the request is written.
-    using connection_function = std::function<void(core::instant opened_at)>;
+    // Called before the request is written, with the time at which the connection of the attempt was opened.
+    using connection_function = std::function<void(core::instant opened_at, core::instant now)>;
 
     // Creates a lease for a numeric address. Throws boost::system::system_error if the host is not one.
     static endpoint_lease create(std::string identity, const std::string& host, std::uint16_t port,
@@ -79,7 +79,7 @@
     {
         m_on_connection = std::move(on_connection);
     }
-    void report_connection(core::instant opened_at) const;
+    void report_connection(core::instant opened_at, core::instant now) const;
 
     const std::string& identity() const { return m_identity; }
     const std::optional<core::instant>& opened_until() const { return m_opened_until; }
--- a/packages/caller/request_exchange.cpp
+++ b/packages/caller/request_exchange.cpp
@@ -375,6 +375,9 @@
 
 asio::awaitable<bool> request_exchange::has_endpoint_ended(const endpoint_lease& lease)
 {
+    if (m_context.pool->has_working_idle(lease.address())) {
+        co_return false;
+    }
     upstream::forwarder check(*m_context.pool, m_memory.upstream_deadline);
     const core::instant now = current_time();
     const std::optional<upstream::forward_failure> failed =
@@ -402,7 +405,7 @@
     result.connection_number = exchange.connection_number();
     result.is_connection_reused = exchange.is_reused();
     result.connection_opened_at = exchange.connection_opened_at();
-    lease.report_connection(result.connection_opened_at);
+    lease.report_connection(result.connection_opened_at, current_time());
     m_used_connections.push_back(result.connection_number);
     if (m_context.hooks.recheck_authorization) {
         const std::optional<rejection> cause =
--- a/packages/upstream/connection_pool.cpp
+++ b/packages/upstream/connection_pool.cpp
@@ -96,6 +96,17 @@
                                                      });
 }
 
+bool connection_pool::has_working_idle(const tcp::endpoint& address) const
+{
+    const std::lock_guard<std::mutex> guard(m_mutex);
+    const std::map<tcp::endpoint, endpoint_connections>::const_iterator found = m_endpoints.find(address);
+    return found != m_endpoints.end() &&
+           std::any_of(found->second.idle.begin(), found->second.idle.end(),
+                       [](const idle_connection& entry) {
+                           return entry.handle->check_idle() == idle_state::reusable;
+                       });
+}
+
 std::unique_ptr<connection> connection_pool::create_connection(const tcp::endpoint& address)
 {
     {
--- a/packages/upstream/connection_pool.h
+++ b/packages/upstream/connection_pool.h
@@ -30,15 +30,15 @@
     // usual keep-alive time of servers, so that a server seldom closes a connection just as a request is
     // written to it.
     core::duration idle_lifetime = std::chrono::seconds(20);
-    // An endpoint that runs keeps an idle connection open for longer than this.
+    // A connection that the endpoint closes after a shorter idle time is taken for a sign that the endpoint
+    // has ended. Servers usually keep idle connections for longer.
     core::duration min_keep_alive = std::chrono::seconds(5);
     std::uint32_t header_limit_bytes = 32 * 1024;
 };
 
 // What an idle connection can be used for.
 enum class idle_state {
-    // Another request: the peer has not closed it, and there are no received bytes, which would be taken for
-    // the
+    // Another request. The peer has not closed it, and no bytes were received, which would be taken for the
     // response to that request.
     reusable,
     closed_by_peer,
@@ -106,6 +106,9 @@
     // since.
     bool has_idle(const boost::asio::ip::tcp::endpoint& address, core::instant opened_until) const;
 
+    // Returns whether an idle connection can carry a request, and leaves it in the pool.
+    bool has_working_idle(const boost::asio::ip::tcp::endpoint& address) const;
+
     // Returns a connection whose socket is not open yet, or null if max_connections is reached.
     std::unique_ptr<connection> create_connection(const boost::asio::ip::tcp::endpoint& address);
 
--- a/packages/upstream/forwarder.cpp
+++ b/packages/upstream/forwarder.cpp
@@ -99,7 +99,9 @@
         m_is_reused = true;
         co_return std::nullopt;
     }
-    if (filter.opened_until || (idle.was_closed_early && may_reconnect && !may_reconnect())) {
+    // The early close is reported even if no connection may be opened.
+    const bool is_reconnect_refused = idle.was_closed_early && may_reconnect && !may_reconnect();
+    if (filter.opened_until || is_reconnect_refused) {
         co_return forward_failure::connection_not_allowed;
     }
     m_connection = m_pool.create_connection(address);
@@ -120,8 +122,8 @@
     co_return std::nullopt;
 }
 
-asio::awaitable<std::optional<forward_failure>>
-forwarder::open(const asio::ip::tcp::endpoint& address, core::instant deadline, core::instant now)
+asio::awaitable<std::optional<forward_failure>> forwarder::open(const asio::ip::tcp::endpoint& address,
+                                                                core::instant deadline, core::instant now)
 {
     const connection_filter any_connection;
     const std::function<bool()> always;
--- a/packages/upstream/forwarder.h
+++ b/packages/upstream/forwarder.h
@@ -81,9 +81,10 @@
     // value on success. The deadline applies to every later step as well. may_reconnect is asked before a
     // connection is opened in place of one that the endpoint has closed early; if it is empty, the answer is
     // yes.
-    boost::asio::awaitable<std::optional<forward_failure>>
-    open(const boost::asio::ip::tcp::endpoint& address, core::instant deadline, core::instant now,
-         const connection_filter& filter, const std::function<bool()>& may_reconnect);
+    boost::asio::awaitable<std::optional<forward_failure>> open(const boost::asio::ip::tcp::endpoint& address,
+                                                                core::instant deadline, core::instant now,
+                                                                const connection_filter& filter,
+                                                                const std::function<bool()>& may_reconnect);
     // Without a filter.
     boost::asio::awaitable<std::optional<forward_failure>> open(const boost::asio::ip::tcp::endpoint& address,
                                                                 core::instant deadline, core::instant now);
--- a/packages/upstream/tests/upstream_test.cpp
+++ b/packages/upstream/tests/upstream_test.cpp
@@ -147,6 +147,36 @@
     CHECK_FALSE(pool->take_idle(address, start + std::chrono::seconds(1)).was_closed_early);
 }
 
+// Guards against the loss of the only sign that an endpoint has ended, when the attempt that finds its
+// connections closed may open none.
+TEST(upstream, early_closed_connections_are_reported_also_if_none_may_be_opened)
+{
+    add_idle();
+    peers.back()->close();
+    bool is_reported = false;
+    const std::function<bool()> may_reconnect = [&is_reported] {
+        is_reported = true;
+        return false;
+    };
+    upstream::forwarder exchange(*pool, upstream::socket_deadline::create(context.get_executor()));
+    const upstream::connection_filter filter{{}, start};
+    const std::optional<forward_failure> failed = complete(exchange.open(
+        address, start + std::chrono::seconds(5), start + std::chrono::seconds(1), filter, may_reconnect));
+    CHECK(failed == forward_failure::connection_not_allowed);
+    CHECK_TRUE(is_reported);
+}
+
+// Guards against a check for an ended endpoint that uses up an idle connection.
+TEST(upstream, a_working_idle_connection_is_found_and_stays_in_the_pool)
+{
+    CHECK_FALSE(pool->has_working_idle(address));
+    add_idle();
+    CHECK_TRUE(pool->has_working_idle(address));
+    CHECK_TRUE(pool->has_idle(address, start));
+    peers.back()->close();
+    CHECK_FALSE(pool->has_working_idle(address));
+}
+
 // Guards against an attempt that may use only connections opened before a time and gets another one.
 TEST(upstream, a_filter_by_time_leaves_newer_connections_in_the_pool)
 {
