Edge: Close gaps in the check for new starts of an endpoint

All sends of the last second now count at the next record. - A request counted from when it was chosen. It now counts from when it is written, since opening a connection takes up to 250 ms and the window leaves 150 ms. - After an interruption, a connection older than the cold time is used, since it goes to a warm start. Without it, instances whose share is 0 could not use the endpoint for up to 8 s after one lost response.

A connection that fails at the first write counts as an interruption too.

--- a/packages/edge/endpoint_balancer.cpp
+++ b/packages/edge/endpoint_balancer.cpp
@@ -83,7 +83,7 @@
         .with("availability_zone", about.record.availability_zone)
         .with("incarnation", about.record.incarnation)
         .with("sequence", about.record.sequence)
-        .with("sent_last_second", about.recent_send_times.size());
+        .with("recent_sends", about.recent_send_times.size());
 }
 
 void endpoint_balancer::set_idle_connection_hook(idle_connection_hook has_idle_connection)
@@ -97,9 +97,11 @@
     m_discovered_until = std::max(m_discovered_until, complete_until);
 }
 
-bool endpoint_balancer::is_discovery_current(core::instant now) const
+placement::discovery_state endpoint_balancer::find_discovery_state(core::instant now) const
 {
-    return now - m_discovered_until <= m_options.max_discovery_age && now >= m_discovery_settled_at;
+    const bool is_current =
+        now - m_discovered_until <= m_options.max_discovery_age && now >= m_discovery_settled_at;
+    return {is_current, m_discovered_until};
 }
 
 const routing::service* endpoint_balancer::find_service(const placement::endpoint& target) const
@@ -115,7 +117,7 @@
     }
     return {(service_config->cold_rate * m_options.cold_rate_factor + m_options.cold_rate_slack) *
                 m_options.cold_limit_utilization,
-            is_discovery_current(now)};
+            service_config->cold_duration, find_discovery_state(now)};
 }
 
 placement::endpoint_selection_request endpoint_balancer::make_criteria(const attempt_request& request) const
@@ -246,10 +248,12 @@
         });
     lease.set_reconnect_check(
         [this, target, id = std::string(request.request_id)] { return confirm_reconnect(target, id); });
-    lease.set_connection_handler([this, target, now](core::instant opened_at) {
-        const std::lock_guard<std::mutex> guard(m_mutex);
-        placement::record_connection(*target, now, opened_at);
-    });
+    lease.set_connection_handler(
+        [this, target, counted_at = now](core::instant opened_at, core::instant now) {
+            const std::lock_guard<std::mutex> guard(m_mutex);
+            placement::record_connection(*target, compute_cold_limit(find_service(*target), now), opened_at,
+                                         counted_at, now);
+        });
     core::debug_event("endpoint_chosen")
         .with("request_id", request.request_id)
         .with("endpoint", target->record.id)
@@ -269,7 +273,7 @@
 void endpoint_balancer::record_interruption(placement::endpoint& target, std::string_view request_id,
                                             std::string_view cause, core::instant now)
 {
-    const bool is_news = !placement::may_have_ended(target, is_discovery_current(now), now);
+    const bool is_news = !placement::may_have_ended(target, find_discovery_state(now).is_current, now);
     placement::record_interruption(target, now);
     if (!is_news) {
         return;
@@ -324,6 +328,7 @@
     const attempt_outcome outcome = classify_attempt(result);
     const std::lock_guard<std::mutex> guard(m_mutex);
     --target->outstanding_requests;
+    placement::remove_connection(*target, result.connection_opened_at);
     if (result.is_draining && m_catalog.mark_leaving(*target)) {
         m_leaving.add();
     }
@@ -362,7 +367,9 @@
                                                     attempt_outcome outcome, core::instant sent,
                                                     core::instant now)
 {
-    if (placement::suggests_end(outcome)) {
+    const bool has_failed_at_write =
+        result.was_contacted && result.failure == dispatch::failure::nothing_written;
+    if (placement::suggests_end(outcome) || has_failed_at_write) {
         record_interruption(target, request_id, placement::attempt_outcome_names.name(outcome), now);
         return;
     }
--- a/packages/edge/endpoint_balancer.h
+++ b/packages/edge/endpoint_balancer.h
@@ -122,7 +122,7 @@
 
 private:
     placement::cold_limit compute_cold_limit(const routing::service* service_config, core::instant now) const;
-    bool is_discovery_current(core::instant now) const;
+    placement::discovery_state find_discovery_state(core::instant now) const;
     const routing::service* find_service(const placement::endpoint& target) const;
     core::duration compute_retry_after(const attempt_request& request,
                                        const placement::endpoint_selection& chosen) const;
--- a/packages/edge/tests/restarted_endpoint_test.cpp
+++ b/packages/edge/tests/restarted_endpoint_test.cpp
@@ -119,14 +119,16 @@
         }
     }
 
-    // Lets each instance send as often as it may in the given time.
-    void send(core::instant from, core::instant until)
+    // Lets each instance send as often as it may in the given time, over connections that were opened at the
+    // given time or when the request is sent.
+    void send(core::instant from, core::instant until, std::optional<core::instant> opened = std::nullopt)
     {
         for (core::instant now = from; now < until; now += demand_interval) {
             for (const std::unique_ptr<member>& sender : fleet) {
                 endpoint_balancer::acquire_result chosen = acquire(*sender, now);
                 if (caller::endpoint_lease* lease = std::get_if<caller::endpoint_lease>(&chosen)) {
                     sent.push_back(now);
+                    lease->report_connection(opened.value_or(now), now);
                     leases.push_back(std::move(*lease));
                 }
             }
@@ -145,10 +147,10 @@
         return result;
     }
 
-    void announce_restart(core::instant now)
+    void announce_restart(core::instant now, std::uint64_t incarnation = 2)
     {
         for (const std::unique_ptr<member>& hearing : fleet) {
-            hearing->balancer->apply(make_record(2), false, now);
+            hearing->balancer->apply(make_record(incarnation), false, now);
         }
     }
 };
@@ -188,3 +190,27 @@
     CHECK(sent.size() > 0);
     CHECK(max_sent_per_second() <= max_cold_requests_per_second);
 }
+
+// Guards against an instance that takes a request in flight to the new start for a sign that the endpoint has
+// not ended, while it hears of no restart.
+TEST(restarted_endpoint, without_discovery_a_request_to_the_new_start_does_not_lift_the_limit)
+{
+    make_fleet(7);
+    send(start + seconds(10), start + milliseconds(11'500));
+    CHECK(sent.size() > 0);
+    CHECK(max_sent_per_second() <= max_cold_requests_per_second);
+}
+
+// Guards against a record that arrives after a further start and makes connections to that start pass for
+// known, so that the requests over them are forgotten when its own record arrives.
+TEST(restarted_endpoint, a_late_record_does_not_confirm_connections_to_a_further_start)
+{
+    make_fleet(7);
+    refuse_connections();
+    announce_restart(start + milliseconds(1000));
+    send(start + milliseconds(1000), start + milliseconds(1500), start + milliseconds(900));
+    announce_restart(start + milliseconds(1500), 3);
+    send(start + milliseconds(1500), start + milliseconds(3000));
+    CHECK(sent.size() > 0);
+    CHECK(max_sent_per_second() <= max_cold_requests_per_second);
+}
--- a/packages/placement/cold_start.cpp
+++ b/packages/placement/cold_start.cpp
@@ -44,12 +44,30 @@
 namespace
 {
 
+// Returns the time before which a connection must have been opened so that, if it still works, it goes to an
+// incarnation that this instance knows or to a warm one.
+core::instant find_known_until(const endpoint& target, const cold_limit& limit, core::instant now)
+{
+    const core::instant known_until = std::max(target.confirmed_at, now - limit.cold_duration);
+    return may_have_ended(target, limit.discovery.is_current, now)
+               ? known_until
+               : std::max(known_until, limit.discovery.complete_until);
+}
+
+// Returns whether a request is in flight over a connection that would have failed if the endpoint had ended.
+bool has_known_connection(const endpoint& target, const cold_limit& limit, core::instant now)
+{
+    const core::instant known_until = find_known_until(target, limit, now);
+    return std::any_of(target.used_connections.begin(), target.used_connections.end(),
+                       [known_until](core::instant opened) { return opened <= known_until; });
+}
+
 // Returns whether a request over a new connection may reach a cold incarnation of the endpoint.
 bool is_limited(const endpoint& target, const cold_limit& limit, core::instant now)
 {
     return limit.fleet_rate > 0 &&
-           (now < target.cold_until || may_have_ended(target, limit.is_discovery_current, now) ||
-            (!limit.is_discovery_current && target.outstanding_requests == 0));
+           (now < target.cold_until || may_have_ended(target, limit.discovery.is_current, now) ||
+            (!limit.discovery.is_current && !has_known_connection(target, limit, now)));
 }
 
 // Returns the number of requests of the last second that may have reached the present incarnation.
@@ -71,9 +89,7 @@
     if (now < target.cold_until) {
         return {false, std::nullopt};
     }
-    // Without a sign that the endpoint has ended, an idle connection that still works goes to the known
-    // incarnation.
-    return {true, may_have_ended(target, limit.is_discovery_current, now) ? target.confirmed_at : now};
+    return {true, find_known_until(target, limit, now)};
 }
 
 bool may_reconnect(endpoint& target, const cold_limit& limit, const fleet_view& fleet, core::instant now)
@@ -89,15 +105,29 @@
     target.unconfirmed_send_times.push_back(now);
 }
 
-void record_connection(endpoint& target, core::instant sent, core::instant connection_opened)
+void record_connection(endpoint& target, const cold_limit& limit, core::instant connection_opened,
+                       core::instant counted_at, core::instant now)
 {
-    if (connection_opened > target.confirmed_at) {
-        return;
+    target.used_connections.push_back(connection_opened);
+    const bool is_known = connection_opened <= std::max(target.confirmed_at, now - limit.cold_duration);
+    for (std::deque<core::instant>* times : {&target.recent_send_times, &target.unconfirmed_send_times}) {
+        const std::deque<core::instant>::iterator found = std::find(times->begin(), times->end(), counted_at);
+        if (found == times->end()) {
+            continue;
+        }
+        times->erase(found);
+        if (!is_known || times == &target.recent_send_times) {
+            times->push_back(now);
+        }
     }
-    const std::deque<core::instant>::iterator found =
-        std::find(target.unconfirmed_send_times.begin(), target.unconfirmed_send_times.end(), sent);
-    if (found != target.unconfirmed_send_times.end()) {
-        target.unconfirmed_send_times.erase(found);
+}
+
+void remove_connection(endpoint& target, core::instant connection_opened)
+{
+    const std::vector<core::instant>::iterator found =
+        std::find(target.used_connections.begin(), target.used_connections.end(), connection_opened);
+    if (found != target.used_connections.end()) {
+        target.used_connections.erase(found);
     }
 }
 
--- a/packages/placement/cold_start.h
+++ b/packages/placement/cold_start.h
@@ -18,12 +18,21 @@
 // because requests take different times to arrive.
 inline constexpr core::duration cold_window = std::chrono::milliseconds(1150);
 
+// How far the records that service discovery has announced are up to date.
+struct discovery_state {
+    // Whether a new incarnation is heard of soon.
+    bool is_current = false;
+    // All changes up to this time are known.
+    core::instant complete_until;
+};
+
 struct cold_limit {
     // Requests per second that a cold endpoint of the service may receive from the whole fleet. 0 means no
     // limit; other values below 1 count as 1.
     double fleet_rate = 0;
-    // Whether service discovery is current, so that a new incarnation is heard of soon.
-    bool is_discovery_current = false;
+    // How long an endpoint of the service stays cold after it starts.
+    core::duration cold_duration{0};
+    discovery_state discovery;
 };
 
 // Whether and how a request may be sent to an endpoint.
@@ -59,8 +68,13 @@
 // endpoint may have become cold shortly before this instance hears of it.
 void record_send(endpoint& target, core::instant now);
 
-// Records over which connection the request that was sent at the given time goes.
-void record_connection(endpoint& target, core::instant sent, core::instant connection_opened);
+// Records that the request that was counted at the time counted_at is sent now, over a connection that was
+// opened at the other one.
+void record_connection(endpoint& target, const cold_limit& limit, core::instant connection_opened,
+                       core::instant counted_at, core::instant now);
+
+// Records that a request over the connection is no longer in flight.
+void remove_connection(endpoint& target, core::instant connection_opened);
 
 // Removes the send times that are further back than cold_window.
 void remove_old_sends(endpoint& target, core::instant now);
--- a/packages/placement/endpoint.h
+++ b/packages/placement/endpoint.h
@@ -10,6 +10,7 @@
 #include <deque>
 #include <limits>
 #include <optional>
+#include <vector>
 
 namespace quetzalspan::placement
 {
@@ -38,14 +39,16 @@
     std::uint64_t sent_requests = 0;
 
     core::instant cold_until;
-    // Times at which this instance sent requests to the id within the last cold_window, also to former
-    // incarnations.
+    // Times at which this instance sent requests to the id, also to former incarnations, within the last
+    // cold_window.
     std::deque<core::instant> recent_send_times;
-    // Those of them that were not over a connection to the confirmed incarnation.
+    // Those of them that may have reached an incarnation other than the confirmed one.
     std::deque<core::instant> unconfirmed_send_times;
+    // For each request in flight that has a connection, when that was opened.
+    std::vector<core::instant> used_connections;
 
-    // The incarnation that ran at this time is the one of the record, or was warm. It is at the other end of
-    // every connection opened before that still works.
+    // The incarnation that ran at this time is that of the record, or was warm. A connection that was opened
+    // before and still works goes to it.
     core::instant confirmed_at;
     // When a connection to it last failed in a way that its end would explain; no value if none has.
     std::optional<core::instant> interrupted_at;
--- a/packages/placement/endpoint_catalog.cpp
+++ b/packages/placement/endpoint_catalog.cpp
@@ -158,8 +158,8 @@
                       return now - entry.second.back() >= cold_window;
                   });
     remove_old_sends(former, now);
-    if (!former.unconfirmed_send_times.empty()) {
-        m_former_send_times[former.record.id] = former.unconfirmed_send_times;
+    if (!former.recent_send_times.empty()) {
+        m_former_send_times[former.record.id] = former.recent_send_times;
     }
 }
 
--- a/packages/placement/tests/catalog_test.cpp
+++ b/packages/placement/tests/catalog_test.cpp
@@ -82,7 +82,7 @@
 // got before its record arrived, also if the former record was deleted in between.
 TEST(endpoint_catalog, requests_sent_before_the_record_of_a_restart_count_against_its_limit)
 {
-    const cold_limit limit{2, true};
+    const cold_limit limit{2, seconds(3), {true, {}}};
     const fleet_view single_instance{1, {7}, 7};
     for (const bool is_removed_first : {false, true}) {
         const std::string id = is_removed_first ? "a" : "b";
@@ -107,12 +107,12 @@
 // so.
 TEST(endpoint_catalog, requests_sent_before_an_endpoint_became_cold_again_count_against_its_limit)
 {
-    const cold_limit limit{2, true};
+    const cold_limit limit{2, seconds(3), {true, {}}};
     const fleet_view single_instance{1, {7}, 7};
     endpoints.apply(make_record("a", 10, 1), at_ms(0), true);
     record_send(*endpoints.find("a"), at_ms(5000));
     record_send(*endpoints.find("a"), at_ms(5100));
-    record_connection(*endpoints.find("a"), at_ms(5100), at_ms(0));
+    record_connection(*endpoints.find("a"), limit, at_ms(0), at_ms(5100), at_ms(5110));
     endpoint_record cold_again = make_record("a", 10, 2);
     cold_again.remaining_cold_time = seconds(2);
     endpoints.apply(cold_again, at_ms(5300), false);
--- a/packages/placement/tests/endpoint_selection_test.cpp
+++ b/packages/placement/tests/endpoint_selection_test.cpp
@@ -259,7 +259,7 @@
 {
     endpoint target;
     target.cold_until = start + seconds(5);
-    const cold_limit limit{2, true};
+    const cold_limit limit{2, seconds(3), {true, {}}};
     const fleet_view single_instance{1, {7}, 7};
     const auto is_any_connection_granted = [&](core::instant now) {
         const send_permission permission = find_send_permission(target, limit, single_instance, now);
--- a/packages/placement/tests/incarnation_check_test.cpp
+++ b/packages/placement/tests/incarnation_check_test.cpp
@@ -33,9 +33,14 @@
         target.confirmed_at = at_ms(0);
     }
 
+    static cold_limit make_limit(bool is_discovery_current)
+    {
+        return {2, cold_duration, {is_discovery_current, at_ms(0)}};
+    }
+
     send_permission find_permission(bool is_discovery_current, core::instant now)
     {
-        return find_send_permission(target, {2, is_discovery_current}, single_instance, now);
+        return find_send_permission(target, make_limit(is_discovery_current), single_instance, now);
     }
 };
 
@@ -49,10 +54,10 @@
         record_send(target, at_ms(sent));
     }
     CHECK_TRUE(find_permission(true, at_ms(5300)).is_granted);
-    CHECK(find_permission(true, at_ms(5300)).opened_until == at_ms(0));
+    CHECK(find_permission(true, at_ms(5300)).opened_until == at_ms(2300));
     // A request over a connection of before the interruption is not counted.
     record_send(target, at_ms(6300));
-    record_connection(target, at_ms(6300), at_ms(0));
+    record_connection(target, make_limit(true), at_ms(0), at_ms(6300), at_ms(6301));
     record_send(target, at_ms(6310));
     CHECK_FALSE(find_permission(true, at_ms(6400)).opened_until.has_value());
 }
@@ -85,14 +90,34 @@
     CHECK_TRUE(may_have_ended(target, false, at_ms(60'000)));
 }
 
-// Guards against an instance without connections that floods an endpoint whose restart it cannot hear of, and
-// against limiting one that has requests under way, which would have failed if the endpoint had ended.
-TEST(incarnation_check, without_discovery_an_endpoint_without_connections_is_limited)
+// Guards against an instance without connections that floods an endpoint whose restart it cannot hear of: a
+// request over a connection that may go to the new incarnation must not lift the limit. Guards as well
+// against limiting an instance with a request in flight that would have failed if the endpoint had ended.
+TEST(incarnation_check, without_discovery_only_a_known_connection_lifts_the_limit)
 {
-    record_send(target, at_ms(1000));
-    record_send(target, at_ms(1010));
+    for (const int sent : {1000, 1010}) {
+        record_send(target, at_ms(sent));
+    }
     CHECK_FALSE(find_permission(true, at_ms(1100)).opened_until.has_value());
-    CHECK(find_permission(false, at_ms(1100)).opened_until == at_ms(1100));
-    target.outstanding_requests = 1;
+    CHECK(find_permission(false, at_ms(1100)).opened_until == at_ms(0));
+    record_connection(target, make_limit(false), at_ms(1020), at_ms(1010), at_ms(1020));
+    CHECK_TRUE(find_permission(false, at_ms(1100)).opened_until.has_value());
+    record_connection(target, make_limit(false), at_ms(-10), at_ms(1000), at_ms(1030));
     CHECK_FALSE(find_permission(false, at_ms(1100)).opened_until.has_value());
+    remove_connection(target, at_ms(-10));
+    record_send(target, at_ms(1040));
+    CHECK_TRUE(find_permission(false, at_ms(1100)).opened_until.has_value());
+}
+
+// Guards against two requests within one second in place of one, because the connection of the first took
+// long to open.
+TEST(incarnation_check, a_request_counts_from_when_it_is_written)
+{
+    record_interruption(target, at_ms(500));
+    for (const int sent : {1000, 1001}) {
+        record_send(target, at_ms(sent));
+        record_connection(target, make_limit(true), at_ms(1240), at_ms(sent), at_ms(1240));
+    }
+    CHECK_TRUE(find_permission(true, at_ms(2200)).opened_until.has_value());
+    CHECK_FALSE(find_permission(true, at_ms(2400)).opened_until.has_value());
 }
