Edge: Count suspended time against the age of records

After a suspension of its machine an instance took its records for current for up to 2.15 s too long, since the steady clock does not count that time, and sent to endpoints that had started again meanwhile as to warm ones.

Without the function the test does not build, so that it was not seen failing.

--- a/packages/edge/endpoint_balancer.cpp
+++ b/packages/edge/endpoint_balancer.cpp
@@ -97,6 +97,13 @@
     m_discovered_until = std::max(m_discovered_until, complete_until);
 }
 
+void endpoint_balancer::record_suspension(core::duration length)
+{
+    core::warning_event("machine_suspended").with("for_ms", core::to_milliseconds(length));
+    const std::lock_guard<std::mutex> guard(m_mutex);
+    m_discovered_until -= length;
+}
+
 placement::discovery_state endpoint_balancer::find_discovery_state(core::instant now) const
 {
     const bool is_current =
--- a/packages/edge/endpoint_balancer.h
+++ b/packages/edge/endpoint_balancer.h
@@ -108,6 +108,9 @@
     void begin_removal_grace_period(core::instant now);
     // Records the time up to which the announced changes are complete.
     void record_discovery(core::instant complete_until);
+    // Records that the machine was suspended for this time, which the steady clock does not count. What was
+    // known before is older by it.
+    void record_suspension(core::duration length);
     void set_evacuated_zones(const std::set<std::string>& zones, core::instant now);
     void set_table(std::shared_ptr<const routing::route_table> table);
 
--- a/packages/edge/instance.cpp
+++ b/packages/edge/instance.cpp
@@ -38,6 +38,15 @@
     return std::chrono::steady_clock::now();
 }
 
+// The clocks are read one after the other, so that a shorter difference can be a pause of the process.
+constexpr core::duration min_suspension = std::chrono::milliseconds(100);
+
+// Returns how long the machine has been suspended since it was booted, plus a constant.
+core::duration find_suspended_time()
+{
+    return core::boot_clock::now().time_since_epoch() - current_time().time_since_epoch();
+}
+
 asio::awaitable<void> sleep_for(core::duration duration)
 {
     asio::steady_timer timer(co_await asio::this_coro::executor, duration);
@@ -394,9 +403,15 @@
 asio::awaitable<void> instance::run_periodic_tasks()
 {
     core::instant maintained_at = current_time();
+    core::duration suspended_time = find_suspended_time();
     while (true) {
         co_await sleep_for(periodic_task_interval);
         const core::instant now = current_time();
+        const core::duration suspension = find_suspended_time() - suspended_time;
+        if (suspension >= min_suspension) {
+            suspended_time += suspension;
+            m_balancer.record_suspension(suspension);
+        }
         m_balancer.update_periodically(now);
         m_fleet_quota.rebalance(now);
         if (now - maintained_at >= maintenance_interval) {
--- a/packages/edge/tests/restarted_endpoint_test.cpp
+++ b/packages/edge/tests/restarted_endpoint_test.cpp
@@ -214,3 +214,16 @@
     CHECK(sent.size() > 0);
     CHECK(max_sent_per_second() <= max_cold_requests_per_second);
 }
+
+// Guards against an instance that takes its records for current after a suspension of the machine, in which
+// an endpoint may have started again.
+TEST(restarted_endpoint, after_a_suspension_the_limit_holds_until_discovery_is_current)
+{
+    make_fleet(7);
+    for (const std::unique_ptr<member>& each : fleet) {
+        each->balancer->record_suspension(seconds(3));
+    }
+    send(start + milliseconds(100), start + milliseconds(1500));
+    CHECK(sent.size() > 0);
+    CHECK(max_sent_per_second() <= max_cold_requests_per_second);
+}
