Process: End without waiting for the thread pool of log4cplus

Seen: an instance logs `stopped` and its process is still there.

Cause: log4cplus starts a pool of four threads when the library is loaded, though nothing here logs asynchronously. Return addresses on the stack of a hanging process show main() in ~Initializer, deinitialize(), shutdownThreadPool() and pthread_cond_wait(), which waits without a limit until the pool's threads have ended; all four were still there.

Change: main() writes the lines logged so far and ends the process with _exit(). instance::run() joins the request threads before it returns: handlers of the control servers own the instance, so its destructor, which joined them, never ran. The leak check of the address sanitizer is called explicitly, since it runs in exit handlers.

--- a/packages/core/log_event.cpp
+++ b/packages/core/log_event.cpp
@@ -143,6 +143,14 @@
     logger.setLogLevel(*level);
 }
 
+void close_log()
+{
+    log4cplus::Logger& logger = application_logger();
+    // Events below this level are not passed to the missing appender.
+    logger.setLogLevel(log4cplus::OFF_LOG_LEVEL);
+    logger.removeAllAppenders();
+}
+
 void log_task_failure(std::string_view task, const std::exception_ptr& thrown)
 {
     if (!thrown) {
--- a/packages/core/log_event.h
+++ b/packages/core/log_event.h
@@ -76,9 +76,14 @@
 
 // Writes log lines of this level and above to standard output. A slow reader of standard output never blocks
 // the threads that log; lines are dropped instead. The levels are "debug", "info", "warn" and "error"; throws
-// std::invalid_argument for any other name. A log4cplus::Initializer must exist while events are logged.
+// std::invalid_argument for any other name. log4cplus::initialize() must have been called, or a
+// log4cplus::Initializer exist.
 void configure_logging(std::string_view level_name);
 
+// Writes the lines logged so far to standard output, as far as its reader takes them; see ~line_writer().
+// Events that are logged afterwards are discarded.
+void close_log();
+
 // Writes the error event task_failed if a task, such as a coroutine, ended with an exception; does nothing if
 // the pointer is null. An exception that is not a std::exception is rethrown.
 void log_task_failure(std::string_view task, const std::exception_ptr& thrown);
--- a/packages/edge/instance.cpp
+++ b/packages/edge/instance.cpp
@@ -109,11 +109,17 @@
 }
 
 instance::~instance()
+{
+    join_request_threads();
+}
+
+void instance::join_request_threads()
 {
     m_request_context.stop();
     for (std::thread& thread : m_request_threads) {
         thread.join();
     }
+    m_request_threads.clear();
 }
 
 std::shared_ptr<instance> instance::create(instance_options options, deployment_adapter adapter)
@@ -471,6 +477,7 @@
         m_request_threads.emplace_back([this] { m_request_context.run(); });
     }
     m_control_context.run();
+    join_request_threads();
     return 0;
 }
 
--- a/packages/edge/instance.h
+++ b/packages/edge/instance.h
@@ -45,7 +45,7 @@
     // Sets the function that is called on SIGHUP.
     void set_reload_handler(std::function<void()> on_reload) { m_on_reload = std::move(on_reload); }
 
-    // Runs until a signal stops the instance. Returns the exit code.
+    // Runs until a signal stops the instance and its request threads have ended. Returns the exit code.
     int run();
 
     // Returns whether the instance accepts requests: a configuration is in force, the store has been listed
@@ -84,6 +84,7 @@
                                                                                  double rate);
     boost::asio::awaitable<void> run_periodic_tasks();
     boost::asio::awaitable<void> stop();
+    void join_request_threads();
     instance_record own_record() const;
     quarantine_exchange::hooks make_quarantine_hooks();
     static balancer_options make_balancer_options(const instance_options& options);
--- a/services/quetzald/main.cpp
+++ b/services/quetzald/main.cpp
@@ -10,10 +10,17 @@
 #include <absl/flags/flag.h>
 #include <absl/flags/parse.h>
 #include <absl/flags/usage.h>
-#include <log4cplus/initializer.h>
+#include <log4cplus/configurator.h>
 
+#include <cstdio>
 #include <iostream>
 
+#include <unistd.h>
+
+#ifdef __SANITIZE_ADDRESS__
+#include <sanitizer/lsan_interface.h>
+#endif
+
 ABSL_FLAG(std::string, settings, "quetzald.yaml", "File with the settings of this instance.");
 ABSL_FLAG(std::vector<std::string>, set, {}, "Settings that override the file: name=value,name=value.");
 ABSL_FLAG(std::string, deployment, "registry",
@@ -57,14 +64,9 @@
     }
 }
 
-} // namespace
-
-int main(int argc, char** argv)
+// Runs the program with the flags given. Returns the exit code.
+int run_with_flags()
 {
-    absl::SetProgramUsageMessage(
-        "quetzald --settings=FILE [--set=name=value,...] [--check] [--print_settings]");
-    absl::ParseCommandLine(argc, argv);
-    const log4cplus::Initializer log_initializer;
     try {
         const std::string deployment = absl::GetFlag(FLAGS_deployment);
         if (deployment == "platform") {
@@ -90,3 +92,29 @@
         return exit_findings;
     }
 }
+
+// Writes the lines logged so far and ends the process without the destructors of static objects and of
+// log4cplus. log4cplus creates a thread pool when it is loaded, and its shutdown waits for the threads of
+// that pool without a time limit, although nothing uses them.
+[[noreturn]] void end_process(int exit_code)
+{
+    quetzalspan::core::close_log();
+    std::cout.flush();
+    std::fflush(nullptr);
+#ifdef __SANITIZE_ADDRESS__
+    __lsan_do_leak_check();
+#endif
+    // Unlike std::quick_exit(), _exit() lets the thread sanitizer turn its findings into an exit code.
+    ::_exit(exit_code);
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    absl::SetProgramUsageMessage(
+        "quetzald --settings=FILE [--set=name=value,...] [--check] [--print_settings]");
+    absl::ParseCommandLine(argc, argv);
+    log4cplus::initialize();
+    end_process(run_with_flags());
+}
