Process: Keep stop signals pending until their handlers exist

Cause: the handlers are installed when the instance is created, after the flags and the settings have been read. Until then SIGTERM ends the process.

Change: main() first blocks SIGTERM, SIGINT and SIGHUP, and the instance unblocks them once its handlers are installed. A signal that has arrived in the meantime starts a planned stop.

Measured: the new process test, which sends SIGTERM while the process waits for its settings, failed with 143 before and passes.

--- a/packages/edge/instance.cpp
+++ b/packages/edge/instance.cpp
@@ -3,6 +3,7 @@
 
 #include "edge/instance.h"
 
+#include "core/control_signals.h"
 #include "core/log_event.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -461,6 +462,7 @@
 int instance::run()
 {
     await_signal();
+    core::unblock_control_signals();
     m_registration->start();
     m_store_watcher->start();
     m_demand_exchange->start();
--- a/packages/edge/instance.h
+++ b/packages/edge/instance.h
@@ -45,7 +45,8 @@
     // Sets the function that is called on SIGHUP.
     void set_reload_handler(std::function<void()> on_reload) { m_on_reload = std::move(on_reload); }
 
-    // Runs until a signal stops the instance and its request threads have ended. Returns the exit code.
+    // Runs until a signal stops the instance and its request threads have ended. Unblocks the control
+    // signals, of which one may be pending. Returns the exit code.
     int run();
 
     // Returns whether the instance accepts requests: a configuration is in force, the store has been listed
--- a/services/quetzald/daemon.cpp
+++ b/services/quetzald/daemon.cpp
@@ -2,6 +2,7 @@
 
 #include "quetzald/daemon.h"
 
+#include "core/control_signals.h"
 #include "core/digest.h"
 #include "core/log_event.h"
 #include "operator/admin_handler.h"
@@ -383,6 +384,7 @@
 int daemon::run()
 {
     wait_for_stop_signal();
+    core::unblock_control_signals();
     m_peer_server->start();
     m_admin_server->start();
     m_control_loop->start();
--- a/services/quetzald/main.cpp
+++ b/services/quetzald/main.cpp
@@ -1,6 +1,7 @@
 // The program quetzald: parses flags, loads the settings and runs an entry instance.
 
 #include "config/settings_yaml.h"
+#include "core/control_signals.h"
 #include "core/findings.h"
 #include "core/log_event.h"
 #include "platform/adapter.h"
@@ -112,6 +113,7 @@
 
 int main(int argc, char** argv)
 {
+    quetzalspan::core::block_control_signals();
     absl::SetProgramUsageMessage(
         "quetzald --settings=FILE [--set=name=value,...] [--check] [--print_settings]");
     absl::ParseCommandLine(argc, argv);
--- a/tests/process/start_and_stop_test.cpp
+++ b/tests/process/start_and_stop_test.cpp
@@ -12,7 +12,9 @@
 #include <string>
 #include <vector>
 
+#include <fcntl.h>
 #include <sys/ptrace.h>
+#include <sys/stat.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -158,3 +160,24 @@
     }));
     LONGS_EQUAL(0, process.wait());
 }
+
+// Guards against a stop signal that ends a process as a failure, because it comes before the process has
+// installed its handlers.
+TEST(start_and_stop, a_stop_signal_during_the_start_stops_the_process_as_planned)
+{
+    // The process waits in the opening and the reading of its settings, which is before it installs handlers.
+    LONGS_EQUAL(0, mkfifo(settings_path().c_str(), S_IRUSR | S_IWUSR));
+    child_process process = start();
+    int pipe = -1;
+    CHECK_TRUE(fleet::wait_until([&] {
+        pipe = open(settings_path().c_str(), O_WRONLY | O_NONBLOCK);
+        return pipe >= 0;
+    }));
+    process.terminate();
+    const std::string settings = make_settings();
+    LONGS_EQUAL(settings.size(), write(pipe, settings.data(), settings.size()));
+    close(pipe);
+    CHECK_TRUE(fleet::wait_until([&] { return !process.is_running(); }));
+    LONGS_EQUAL(0, process.wait());
+    CHECK_TRUE(has_event(process, "stopped"));
+}
