Edge: Take records for complete once an outage has settled

The first answer of the store after an outage made all connections opened before it pass for known, although endpoints that started again during the outage write their records up to two seconds later.

The time up to which records are complete no longer advances before the grace period for such records is over. The test failed before.

--- a/packages/edge/endpoint_balancer.cpp
+++ b/packages/edge/endpoint_balancer.cpp
@@ -94,7 +94,9 @@
 void endpoint_balancer::record_discovery(core::instant complete_until)
 {
     const std::lock_guard<std::mutex> guard(m_mutex);
-    m_discovered_until = std::max(m_discovered_until, complete_until);
+    if (complete_until >= m_discovery_settled_at) {
+        m_discovered_until = std::max(m_discovered_until, complete_until);
+    }
 }
 
 void endpoint_balancer::record_suspension(core::duration length)
@@ -106,9 +108,7 @@
 
 placement::discovery_state endpoint_balancer::find_discovery_state(core::instant now) const
 {
-    const bool is_current =
-        now - m_discovered_until <= m_options.max_discovery_age && now >= m_discovery_settled_at;
-    return {is_current, m_discovered_until};
+    return {now - m_discovered_until <= m_options.max_discovery_age, m_discovered_until};
 }
 
 const routing::service* endpoint_balancer::find_service(const placement::endpoint& target) const
--- a/packages/edge/endpoint_balancer.h
+++ b/packages/edge/endpoint_balancer.h
@@ -174,7 +174,8 @@
     std::shared_ptr<const routing::route_table> m_table;
     placement::endpoint_catalog m_catalog;
     placement::fleet_view m_position;
-    // The announced changes are complete up to this time.
+    // The announced changes are complete up to this time. It does not advance until the end of an outage of
+    // the store has settled.
     core::instant m_discovered_until;
     // Until this time, records that expired during an outage of the store may still come back.
     core::instant m_discovery_settled_at;
--- a/packages/edge/tests/restarted_endpoint_test.cpp
+++ b/packages/edge/tests/restarted_endpoint_test.cpp
@@ -227,3 +227,18 @@
     CHECK(sent.size() > 0);
     CHECK(max_sent_per_second() <= max_cold_requests_per_second);
 }
+
+// Guards against an instance that takes the first answer of the store after an outage for complete, while
+// endpoints that started again during the outage have not written their records yet.
+TEST(restarted_endpoint, after_an_outage_of_the_store_the_limit_holds_until_records_are_back)
+{
+    make_fleet(7);
+    send(start + milliseconds(10'000), start + milliseconds(11'000));
+    for (const std::unique_ptr<member>& each : fleet) {
+        each->balancer->begin_removal_grace_period(start + milliseconds(11'000));
+        each->balancer->record_discovery(start + milliseconds(11'000));
+    }
+    send(start + milliseconds(11'000), start + milliseconds(12'500), start + milliseconds(10'500));
+    CHECK(sent.size() > 0);
+    CHECK(max_sent_per_second() <= max_cold_requests_per_second);
+}
