--- a/packages/edge/tests/restarted_endpoint_test.cpp
+++ b/packages/edge/tests/restarted_endpoint_test.cpp
@@ -147,6 +147,12 @@
         return result;
     }
 
+    void check_limit() const
+    {
+        CHECK(sent.size() > 0);
+        CHECK(max_sent_per_second() <= max_cold_requests_per_second);
+    }
+
     void announce_restart(core::instant now, std::uint64_t incarnation = 2)
     {
         for (const std::unique_ptr<member>& hearing : fleet) {
@@ -164,8 +170,7 @@
     send(start + milliseconds(700), start + milliseconds(1100));
     announce_restart(start + milliseconds(1100));
     send(start + milliseconds(1100), start + milliseconds(3000));
-    CHECK(sent.size() > 0);
-    CHECK(max_sent_per_second() <= max_cold_requests_per_second);
+    check_limit();
 }
 
 // Guards against a flood of a new start whose record does not arrive, because the store is down.
@@ -174,8 +179,7 @@
     make_fleet(7);
     refuse_connections();
     send(start + milliseconds(700), start + milliseconds(3500));
-    CHECK(sent.size() > 0);
-    CHECK(max_sent_per_second() <= max_cold_requests_per_second);
+    check_limit();
 }
 
 // Guards against the same in a fleet with more instances than requests that a cold endpoint may get in a
@@ -187,8 +191,7 @@
     send(start + milliseconds(700), start + milliseconds(1500));
     announce_restart(start + milliseconds(1500));
     send(start + milliseconds(1500), start + milliseconds(3000));
-    CHECK(sent.size() > 0);
-    CHECK(max_sent_per_second() <= max_cold_requests_per_second);
+    check_limit();
 }
 
 // Guards against an instance that takes a request in flight to the new start for a sign that the endpoint has
@@ -197,8 +200,7 @@
 {
     make_fleet(7);
     send(start + seconds(10), start + milliseconds(11'500));
-    CHECK(sent.size() > 0);
-    CHECK(max_sent_per_second() <= max_cold_requests_per_second);
+    check_limit();
 }
 
 // Guards against a record that arrives after a further start and makes connections to that start pass for
@@ -211,8 +213,7 @@
     send(start + milliseconds(1000), start + milliseconds(1500), start + milliseconds(900));
     announce_restart(start + milliseconds(1500), 3);
     send(start + milliseconds(1500), start + milliseconds(3000));
-    CHECK(sent.size() > 0);
-    CHECK(max_sent_per_second() <= max_cold_requests_per_second);
+    check_limit();
 }
 
 // Guards against an instance that takes its records for current after a suspension of the machine, in which
@@ -224,8 +225,7 @@
         each->balancer->record_suspension(seconds(3));
     }
     send(start + milliseconds(100), start + milliseconds(1500));
-    CHECK(sent.size() > 0);
-    CHECK(max_sent_per_second() <= max_cold_requests_per_second);
+    check_limit();
 }
 
 // Guards against an instance that takes the first answer of the store after an outage for complete, while
@@ -239,6 +239,5 @@
         each->balancer->record_discovery(start + milliseconds(11'000));
     }
     send(start + milliseconds(11'000), start + milliseconds(12'500), start + milliseconds(10'500));
-    CHECK(sent.size() > 0);
-    CHECK(max_sent_per_second() <= max_cold_requests_per_second);
+    check_limit();
 }
