--- a/packages/edge/instance.cpp
+++ b/packages/edge/instance.cpp
@@ -39,7 +39,7 @@
     return std::chrono::steady_clock::now();
 }
 
-// The clocks are read one after the other, so that a shorter difference can be a pause of the process.
+// A shorter difference can come from a pause of the process between the readings of the two clocks.
 constexpr core::duration min_suspension = std::chrono::milliseconds(100);
 
 // Returns how long the machine has been suspended since it was booted, plus a constant.
--- a/packages/placement/cold_start.h
+++ b/packages/placement/cold_start.h
@@ -20,9 +20,9 @@
 
 // How far the records that service discovery has announced are up to date.
 struct discovery_state {
-    // Whether a new incarnation is heard of soon.
+    // Whether complete_until is recent, so that the record of a new incarnation arrives soon after its start.
     bool is_current = false;
-    // All changes up to this time are known.
+    // All records written before this time are known.
     core::instant complete_until;
 };
 
--- a/packages/placement/endpoint.h
+++ b/packages/placement/endpoint.h
@@ -42,7 +42,7 @@
     // Times at which this instance sent requests to the id, also to former incarnations, within the last
     // cold_window.
     std::deque<core::instant> recent_send_times;
-    // Those of them that may have reached an incarnation other than the confirmed one.
+    // Those of them that were not over a connection known to go to the confirmed or a warm incarnation.
     std::deque<core::instant> unconfirmed_send_times;
     // For each request in flight that has a connection, when that was opened.
     std::vector<core::instant> used_connections;
--- a/packages/placement/incarnation_check.h
+++ b/packages/placement/incarnation_check.h
@@ -13,8 +13,8 @@
 namespace quetzalspan::placement
 {
 
-// An endpoint that has ended starts again or loses its record within this time, and this instance then hears
-// of it if service discovery is current.
+// How long an interruption counts while service discovery is current. The record of an endpoint that has
+// ended is replaced or expires sooner, after three missed heartbeats and the delay of discovery.
 inline constexpr core::duration interruption_lifetime = std::chrono::seconds(8);
 
 // Records that a connection to the endpoint could not be opened or ended without a response. The endpoint may
