Edge: Share the load of endpoints between instances and choose by it

Cause: in a fleet of 32 to 70 instances, an instance hears from a given endpoint only every five to ten seconds, so the load that it knows is always out of date, and requests went to the first endpoint of their object however busy it was. Reports with a fourth figure, the pace, were rejected as a whole.

Change: load reports may end with a pace. Instances send the reports that they receive to a collector of their zone, which passes them on to the other zones and to its own. In fleets of 16 instances or more, the one with the lowest expected time of an object's endpoints is chosen; an object has two endpoints, and more if its requests need more.

--- a/packages/edge/demand_exchange.cpp
+++ b/packages/edge/demand_exchange.cpp
@@ -175,6 +175,10 @@
             if (m_hooks.is_member(quarantine->instance)) {
                 m_hooks.on_quarantine(*quarantine);
             }
+        } else if (const endpoint_loads_message* loads = std::get_if<endpoint_loads_message>(&message)) {
+            if (m_hooks.is_member(loads->instance)) {
+                m_hooks.on_endpoint_loads(*loads);
+            }
         } else {
             m_hooks.on_confirmation(std::get<confirmation_message>(message));
         }
--- a/packages/edge/demand_exchange.h
+++ b/packages/edge/demand_exchange.h
@@ -58,6 +58,8 @@
         // Called for what a member tells about requests under which endpoints end.
         std::function<void(const endpoint_end_message&)> on_endpoint_end;
         std::function<void(const quarantine_message&)> on_quarantine;
+        // Called for the load of endpoints that a member tells.
+        std::function<void(const endpoint_loads_message&)> on_endpoint_loads;
     };
 
     // Binds the address, whose host must be numeric. Throws boost::system::system_error if binding fails.
--- a/packages/edge/endpoint_balancer.cpp
+++ b/packages/edge/endpoint_balancer.cpp
@@ -9,6 +9,7 @@
 #include <algorithm>
 #include <cmath>
 #include <sstream>
+#include <utility>
 
 namespace quetzalspan::edge
 {
@@ -23,6 +24,23 @@
 // Under overload many requests find no endpoint.
 constexpr double no_endpoint_lines_per_second = 20;
 
+constexpr double load_report_lines_per_second = 1;
+constexpr std::size_t logged_load_report_chars = 64;
+
+// An endpoint with at most this many free slots is reported to the other instances as busy, one with a higher
+// pace as slow.
+constexpr std::uint32_t busy_free_slots = 2;
+constexpr std::uint32_t slow_pace_percent = 120;
+
+// The weight of the newest response in the average time of a service.
+constexpr double service_time_weight = 0.02;
+
+bool is_busy_or_slow(const placement::load_report& report)
+{
+    return report.running + report.waiting + busy_free_slots >= report.slots ||
+           report.pace_percent.value_or(0) > slow_pace_percent;
+}
+
 constexpr const char* endpoint_tokens_help = "Requests that needed a token of an endpoint's rate limit.";
 
 std::string rate_text(double per_second)
@@ -61,13 +79,18 @@
           metrics.get_counter("endpoint_tokens_total", endpoint_tokens_help, {{"result", "refused"}})),
       m_tokens_unanswered(
           metrics.get_counter("endpoint_tokens_total", endpoint_tokens_help, {{"result", "unanswered"}})),
+      m_load_reports_rejected(metrics.get_counter("load_reports_rejected_total",
+                                                  "Load reports of endpoints that are malformed.")),
+      m_load_report_lines(load_report_lines_per_second),
       m_no_endpoint_lines(no_endpoint_lines_per_second),
-      m_catalog(m_options.catalog, {log_change, [this](std::string_view service) {
+      m_catalog(m_options.catalog, {log_change,
+                                    [this](std::string_view service) {
                                         const routing::service* service_config =
                                             m_table ? m_table->find_service(service) : nullptr;
                                         return service_config == nullptr ? core::duration(0)
                                                                          : service_config->cold_duration;
-                                    }})
+                                    }}),
+      m_spread(m_options.spread)
 {
 }
 
@@ -162,6 +185,11 @@
             return weights->second.weight(region);
         };
     }
+    criteria.uses_expected_time = m_position.size >= m_options.min_load_sharing_fleet;
+    if (criteria.uses_expected_time) {
+        criteria.max_choices =
+            criteria.affinity.empty() ? m_options.spread.min_endpoints : find_spread(request, now);
+    }
     const placement::endpoint_selection chosen =
         placement::select_endpoint(m_catalog, criteria, m_position, m_options.choice, now);
     if (!chosen.target) {
@@ -175,6 +203,19 @@
     return begin_send(chosen.target, request, now);
 }
 
+std::size_t endpoint_balancer::find_spread(const attempt_request& request, core::instant now)
+{
+    const std::vector<endpoint_pointer>& endpoints = m_catalog.find_service(*request.service);
+    const std::map<std::string, double, std::less<>>::const_iterator seconds =
+        m_service_seconds.find(*request.service);
+    placement::object_demand demand;
+    demand.object_hash = core::stable_hash(request.affinity, core::stable_hash(*request.service));
+    demand.instances = m_position.region_size;
+    demand.service_seconds = seconds == m_service_seconds.end() ? 0 : seconds->second;
+    demand.slots_per_endpoint = endpoints.empty() ? 1 : endpoints.front()->record.slots;
+    return m_spread.record_request(demand, now);
+}
+
 std::optional<caller::endpoint_lease>
 endpoint_balancer::acquire_rate_limited(const rate_limited_endpoint& chosen, const attempt_request& request,
                                         std::optional<core::duration> token_wait, core::instant now)
@@ -339,9 +380,9 @@
     if (result.is_draining && m_catalog.mark_leaving(*target)) {
         m_leaving.add();
     }
-    if (const std::optional<placement::load_report> load = placement::parse_load_report(result.load_report)) {
-        target->reported_load = load;
-        target->load_reported_at = now;
+    record_load_report(target, result.load_report, now);
+    if (outcome == attempt_outcome::success) {
+        record_service_time(*target, result.time_to_header);
     }
     if (result.rate_limit) {
         update_rate_limit(*target, request_id, *result.rate_limit);
@@ -368,6 +409,81 @@
     }
 }
 
+void endpoint_balancer::record_service_time(const placement::endpoint& target, core::duration time)
+{
+    // With a queue the time would show the load of the endpoint rather than the work of the request.
+    if (target.reported_load && target.reported_load->waiting > 0) {
+        return;
+    }
+    const double seconds = core::to_seconds(time);
+    double& average = m_service_seconds.try_emplace(target.record.service, seconds).first->second;
+    average += (seconds - average) * service_time_weight;
+}
+
+void endpoint_balancer::record_load_report(const endpoint_pointer& target, const std::string& text,
+                                           core::instant now)
+{
+    if (text.empty()) {
+        return;
+    }
+    const std::optional<placement::load_report> load = placement::parse_load_report(text);
+    if (!load) {
+        m_load_reports_rejected.add();
+        if (const std::optional<std::uint64_t> skipped = m_load_report_lines.try_take(now)) {
+            core::info_event("load_report_rejected")
+                .with("endpoint", target->record.id)
+                .with("text", text.substr(0, logged_load_report_chars))
+                .with("lines_skipped", *skipped);
+        }
+        return;
+    }
+    target->reported_load = load;
+    target->load_reported_at = now;
+    const bool is_shared = m_position.size >= m_options.min_load_sharing_fleet;
+    if (is_shared && !std::exchange(target->is_load_unshared, true)) {
+        m_unshared_loads.push_back(target);
+    }
+}
+
+bool endpoint_balancer::is_load_shared() const
+{
+    const std::lock_guard<std::mutex> guard(m_mutex);
+    return m_position.size >= m_options.min_load_sharing_fleet;
+}
+
+load_collector::loads endpoint_balancer::take_unshared_loads(core::instant now)
+{
+    const std::lock_guard<std::mutex> guard(m_mutex);
+    load_collector::loads result;
+    for (const endpoint_pointer& entry : m_unshared_loads) {
+        if (!std::exchange(entry->is_load_unshared, false)) {
+            continue;
+        }
+        const bool is_busy = is_busy_or_slow(*entry->reported_load);
+        if (!entry->is_removed && (is_busy || entry->is_shared_as_busy)) {
+            result[entry->record.id] = {*entry->reported_load, now - entry->load_reported_at};
+        }
+        entry->is_shared_as_busy = is_busy;
+    }
+    m_unshared_loads.clear();
+    return result;
+}
+
+void endpoint_balancer::apply_shared_loads(const load_collector::loads& loads, core::instant now)
+{
+    const std::lock_guard<std::mutex> guard(m_mutex);
+    for (const auto& [id, load] : loads) {
+        const endpoint_pointer target = m_catalog.find(id);
+        const core::instant reported_at = now - load.age;
+        if (target && (!target->reported_load || reported_at > target->load_reported_at)) {
+            target->reported_load = load.report;
+            target->load_reported_at = reported_at;
+            target->is_load_unshared = false;
+            target->is_shared_as_busy = is_busy_or_slow(load.report);
+        }
+    }
+}
+
 void endpoint_balancer::record_incarnation_evidence(placement::endpoint& target,
                                                     const std::string& request_id,
                                                     const caller::attempt_result& result,
--- a/packages/edge/endpoint_balancer.h
+++ b/packages/edge/endpoint_balancer.h
@@ -7,8 +7,10 @@
 #include "caller/proxy_hooks.h"
 #include "core/log_throttle.h"
 #include "edge/instance_options.h"
+#include "edge/load_collector.h"
 #include "placement/endpoint_health.h"
 #include "placement/endpoint_selection.h"
+#include "placement/object_spread.h"
 #include "placement/region_weights.h"
 #include "routing/route_table.h"
 
@@ -39,6 +41,10 @@
     // How old the last confirmation of the endpoints' records may be. It covers the change of the peer that
     // confirms them.
     core::duration max_discovery_age = std::chrono::milliseconds(2150);
+    placement::object_spread_options spread;
+    // The size of a fleet from which on the load of endpoints is shared between instances, and endpoints are
+    // chosen by the expected time.
+    std::uint32_t min_load_sharing_fleet = 16;
     // Retry-after time given to callers when no endpoint can take the request.
     core::duration busy_retry_after = std::chrono::milliseconds(60);
     // The time over which callers return after all endpoints of a service have asked for no request.
@@ -114,6 +120,15 @@
     void set_evacuated_zones(const std::set<std::string>& zones, core::instant now);
     void set_table(std::shared_ptr<const routing::route_table> table);
 
+    // Returns whether the load of endpoints is shared with other instances.
+    bool is_load_shared() const;
+    // Returns the reports that responses to this instance have brought since the last call. Endpoints that
+    // are neither busy nor slow are left out unless the others were told that they are.
+    load_collector::loads take_unshared_loads(core::instant now);
+    // Uses reports that other instances received. Reports of unknown endpoints and those that are older than
+    // the known ones are ignored.
+    void apply_shared_loads(const load_collector::loads& loads, core::instant now);
+
     // Drops endpoints whose grace period is over, updates the weights of regions and detects slow endpoints.
     // Called periodically.
     void update_periodically(core::instant now);
@@ -144,10 +159,15 @@
                                       const attempt_request& request, core::instant now);
     void release(const placement::endpoint_pointer& target, const std::string& request_id,
                  const caller::attempt_result& result);
+    void record_service_time(const placement::endpoint& target, core::duration time);
     // Records what the result of an attempt tells of whether the endpoint has started anew.
     void record_incarnation_evidence(placement::endpoint& target, const std::string& request_id,
                                      const caller::attempt_result& result, placement::attempt_outcome outcome,
                                      core::instant sent, core::instant now);
+    void record_load_report(const placement::endpoint_pointer& target, const std::string& text,
+                            core::instant now);
+    // Returns how many endpoints may serve the object of the request, and counts the request.
+    std::size_t find_spread(const attempt_request& request, core::instant now);
     void update_rate_limit(placement::endpoint& target, const std::string& request_id, double rate_limit);
     void detect_slow_endpoints(const std::vector<placement::endpoint_pointer>& endpoints, core::instant now);
     void update_region_weights(const std::string& service,
@@ -168,12 +188,19 @@
     burn::counter& m_tokens_granted;
     burn::counter& m_tokens_refused;
     burn::counter& m_tokens_unanswered;
+    burn::counter& m_load_reports_rejected;
+    core::log_throttle m_load_report_lines;
     core::log_throttle m_no_endpoint_lines;
     mutable std::mutex m_mutex;
     // The rest is guarded by m_mutex.
     std::shared_ptr<const routing::route_table> m_table;
     placement::endpoint_catalog m_catalog;
     placement::fleet_view m_position;
+    placement::object_spread m_spread;
+    // The moving average of the time to the header of successful responses, in seconds, by service.
+    std::map<std::string, double, std::less<>> m_service_seconds;
+    // The endpoints whose newest report the other instances have not been told of.
+    std::vector<placement::endpoint_pointer> m_unshared_loads;
     // The announced changes are complete up to this time. It does not advance until the end of an outage of
     // the store has settled.
     core::instant m_discovered_until;
--- a/packages/edge/fleet_membership.cpp
+++ b/packages/edge/fleet_membership.cpp
@@ -25,6 +25,9 @@
 // The same for the choice of a region's relay.
 constexpr std::uint64_t relay_seed = 0x72656c6179U;
 
+// The same for the choice of the collectors of load.
+constexpr std::uint64_t load_collector_seed = 0x6c6f6164U;
+
 // With fewer instances in a region, the shorter intervals of the relay cost as many calls as it saves.
 constexpr std::size_t min_relayed_instances = 4;
 
@@ -251,6 +254,42 @@
     return {is_own, is_own ? std::nullopt : std::optional<instance_record>(first->second.record)};
 }
 
+std::map<std::string, designated_instance> fleet_membership::find_load_collectors(core::instant now) const
+{
+    const std::lock_guard<std::mutex> guard(m_mutex);
+    std::map<std::string, std::pair<std::uint64_t, const instance_record*>> first;
+    for (const auto& [name, entry] : m_members) {
+        const bool is_own = name == m_options.own_instance;
+        if (entry.record.phase != instance_phase::serving || !(is_own || is_usable(name, entry, now))) {
+            continue;
+        }
+        const std::uint64_t hash = core::stable_hash(name, load_collector_seed);
+        const auto [found, is_new] = first.try_emplace(entry.record.availability_zone, hash, &entry.record);
+        if (!is_new && hash < found->second.first) {
+            found->second = {hash, &entry.record};
+        }
+    }
+    std::map<std::string, designated_instance> result;
+    for (const auto& [zone, chosen] : first) {
+        const bool is_own = chosen.second->instance == m_options.own_instance;
+        result[zone] = {is_own, is_own ? std::nullopt : std::optional<instance_record>(*chosen.second)};
+    }
+    return result;
+}
+
+std::vector<instance_record> fleet_membership::others_in_zone(const std::string& zone) const
+{
+    const std::lock_guard<std::mutex> guard(m_mutex);
+    std::vector<instance_record> result;
+    for (const auto& [name, entry] : m_members) {
+        if (name != m_options.own_instance && entry.record.availability_zone == zone &&
+            entry.record.phase == instance_phase::serving) {
+            result.push_back(entry.record);
+        }
+    }
+    return result;
+}
+
 bool fleet_membership::is_silent_sender(const std::string& name, const member& candidate,
                                         core::instant now) const
 {
@@ -303,9 +342,14 @@
     placement::fleet_view result;
     result.own_hash = core::stable_hash(m_options.own_instance);
     result.instance_hashes.push_back(result.own_hash);
+    const std::map<std::string, member, std::less<>>::const_iterator own =
+        m_members.find(m_options.own_instance);
     for (const auto& [name, entry] : m_members) {
         if (name != m_options.own_instance) {
             result.instance_hashes.push_back(core::stable_hash(name));
+            const bool is_in_region =
+                own != m_members.end() && entry.record.region == own->second.record.region;
+            result.region_size += is_in_region ? 1 : 0;
         }
     }
     std::sort(result.instance_hashes.begin(), result.instance_hashes.end());
--- a/packages/edge/fleet_membership.h
+++ b/packages/edge/fleet_membership.h
@@ -78,6 +78,11 @@
     // Returns which instance of the region asks the store on behalf of the others. With few instances in the
     // region there is none.
     designated_instance find_relay(const std::string& region, core::instant now) const;
+    // Returns which instance of each availability zone collects the load of endpoints and distributes it in
+    // its zone, by zone. Chosen by a hash among the zone's instances; an instance that is silent is skipped.
+    std::map<std::string, designated_instance> find_load_collectors(core::instant now) const;
+    // Returns the serving instances of the availability zone but this one.
+    std::vector<instance_record> others_in_zone(const std::string& zone) const;
     // Returns the instances that should send messages to this one, have sent some before and have now been
     // silent for longer than the peer timeout.
     std::set<std::string, std::less<>> silent_senders(core::instant now) const;
--- a/packages/edge/instance.cpp
+++ b/packages/edge/instance.cpp
@@ -226,6 +226,9 @@
     hooks.on_quarantine = [this](const quarantine_message& message) {
         m_quarantine.handle_notice(message, current_time());
     };
+    hooks.on_endpoint_loads = [this](const endpoint_loads_message& message) {
+        m_load_exchange->handle_message(message, current_time());
+    };
     m_demand_exchange = demand_exchange::create(executor, m_options.instance, m_options.peer_address,
                                                 m_options.demand_interval, std::move(hooks));
     create_peer_clients(executor);
@@ -249,6 +252,20 @@
     };
     m_token_client = std::make_unique<token_client>(executor, m_options.instance, std::move(token_hooks));
 
+    load_exchange::hooks load_hooks;
+    load_hooks.is_needed = [this] { return m_balancer.is_load_shared(); };
+    load_hooks.take_own_loads = [this](core::instant now) { return m_balancer.take_unshared_loads(now); };
+    load_hooks.apply = [this](const load_collector::loads& loads, core::instant now) {
+        m_balancer.apply_shared_loads(loads, now);
+    };
+    load_hooks.collectors = [this](core::instant now) { return m_membership.find_load_collectors(now); };
+    load_hooks.zone_members = [this] { return m_membership.others_in_zone(m_options.availability_zone); };
+    load_hooks.send = [this](const instance_record& target, const std::string& text) {
+        return m_demand_exchange->send(target, text);
+    };
+    m_load_exchange = std::make_unique<load_exchange>(
+        executor, m_options.instance, m_options.availability_zone, std::move(load_hooks), m_metrics);
+
     confirmation_client::hooks confirmation_hooks;
     confirmation_hooks.relay = [this] {
         return m_membership.find_relay(m_options.region, current_time()).other;
@@ -470,6 +487,9 @@
     asio::co_spawn(
         m_control_context, [this] { return run_periodic_tasks(); },
         [](const std::exception_ptr& thrown) { core::log_task_failure("tick", thrown); });
+    asio::co_spawn(
+        m_control_context, [this] { return m_load_exchange->run(); },
+        [](const std::exception_ptr& thrown) { core::log_task_failure("load_exchange", thrown); });
     core::info_event("started")
         .with("instance", m_options.instance)
         .with("region", m_options.region)
--- a/packages/edge/instance.h
+++ b/packages/edge/instance.h
@@ -9,6 +9,7 @@
 #include "edge/demand_exchange.h"
 #include "edge/deployment_adapter.h"
 #include "edge/instance_options.h"
+#include "edge/load_exchange.h"
 #include "edge/request_rules.h"
 #include "edge/store_watcher.h"
 #include "edge/token_client.h"
@@ -115,6 +116,7 @@
     std::shared_ptr<demand_exchange> m_demand_exchange;
     std::unique_ptr<token_client> m_token_client;
     std::unique_ptr<confirmation_client> m_confirmation_client;
+    std::unique_ptr<load_exchange> m_load_exchange;
     std::shared_ptr<caller::proxy_server> m_caller_server;
     std::vector<std::shared_ptr<http::server>> m_control_servers;
     std::function<void()> m_on_reload;
--- a/packages/edge/peer_message.cpp
+++ b/packages/edge/peer_message.cpp
@@ -24,6 +24,7 @@
 constexpr const char* confirmation_method = "confirmation";
 constexpr const char* endpoint_end_method = "endpoint_end";
 constexpr const char* quarantine_method = "quarantine";
+constexpr const char* endpoint_loads_method = "endpoint_loads";
 // Longer than any sensible wait for a token.
 constexpr std::uint64_t max_retry_ms = 60'000;
 // Far above the age at which a confirmation is of no use any more.
@@ -32,6 +33,11 @@
 // Far above the duration of any quarantine.
 constexpr std::uint64_t max_quarantine_ms = 3'600'000;
 
+// Far above the age at which a load tells nothing any more.
+constexpr std::uint64_t max_load_age_ms = 60'000;
+// Far above the requests that an endpoint holds and any pace.
+constexpr std::uint64_t max_load_number = 1'000'000;
+
 // Rates are encoded as integers in tenths of a request per second.
 constexpr double rate_steps_per_rps = 10;
 constexpr std::uint64_t max_rate_steps = 1'000'000'000;
@@ -190,8 +196,88 @@
     return result;
 }
 
+// A load is the array of running, waiting, slots, pace in percent (0 if there is none) and age in
+// milliseconds.
+constexpr std::size_t load_number_count = 5;
+
+Json::Value to_json(const shared_load& load)
+{
+    const std::int64_t age_ms = std::clamp<std::int64_t>(core::to_milliseconds(load.age), 0,
+                                                         static_cast<std::int64_t>(max_load_age_ms));
+    const auto limit = [](std::uint64_t number) { return Json::UInt64(std::min(number, max_load_number)); };
+    Json::Value value(Json::arrayValue);
+    value.append(limit(load.report.running));
+    value.append(limit(load.report.waiting));
+    value.append(limit(load.report.slots));
+    value.append(limit(load.report.pace_percent.value_or(0)));
+    value.append(Json::Int64(age_ms));
+    return value;
+}
+
+shared_load read_load(codec::json_reader& in, const Json::Value& loads, const std::string& endpoint)
+{
+    std::array<std::uint64_t, load_number_count> numbers{};
+    std::size_t count = 0;
+    in.for_each_item(loads, endpoint.c_str(), "loads", load_number_count,
+                     [&](const Json::Value& item, const std::string& path) {
+                         if (!item.isUInt64() || item.asUInt64() > max_load_number) {
+                             in.add_error(path, "is not a number of the permitted range");
+                         } else {
+                             numbers[count] = item.asUInt64();
+                         }
+                         ++count;
+                     });
+    if (count != load_number_count || numbers[2] == 0) {
+        in.add_error("loads." + endpoint, "is not a load");
+    }
+    shared_load result;
+    result.report.running = static_cast<std::uint32_t>(numbers[0]);
+    result.report.waiting = static_cast<std::uint32_t>(numbers[1]);
+    result.report.slots = static_cast<std::uint32_t>(numbers[2]);
+    if (numbers[3] > 0) {
+        result.report.pace_percent = static_cast<std::uint32_t>(numbers[3]);
+    }
+    result.age = std::chrono::milliseconds(numbers[4]);
+    return result;
+}
+
+endpoint_loads_message read_endpoint_loads(codec::json_reader& in, const Json::Value& params)
+{
+    endpoint_loads_message result;
+    result.instance = in.read_string(params, "instance", "params");
+    const std::optional<load_scope> scope =
+        load_scope_names.find_value(in.read_string(params, "scope", "params"));
+    if (!scope) {
+        in.add_error("params.scope", "is unknown");
+    }
+    result.scope = scope.value_or(load_scope::instance);
+    const Json::Value& loads = in.read_object(params, "loads", "params");
+    in.throw_if_errors();
+    if (loads.size() > max_shared_loads) {
+        in.add_error("params.loads", "has too many entries");
+        return result;
+    }
+    for (const std::string& endpoint : loads.getMemberNames()) {
+        result.loads[endpoint] = read_load(in, loads, endpoint);
+    }
+    return result;
+}
+
 } // namespace
 
+std::string to_text(const endpoint_loads_message& message)
+{
+    Json::Value loads(Json::objectValue);
+    for (const auto& [endpoint, load] : message.loads) {
+        loads[endpoint] = to_json(load);
+    }
+    Json::Value params;
+    params["instance"] = message.instance;
+    params["scope"] = std::string(load_scope_names.name(message.scope));
+    params["loads"] = std::move(loads);
+    return to_notification(endpoint_loads_method, std::move(params));
+}
+
 std::string to_text(const endpoint_end_message& message)
 {
     Json::Value params;
@@ -313,6 +399,8 @@
         result = read_endpoint_end(in, params);
     } else if (method == quarantine_method) {
         result = read_quarantine(in, params);
+    } else if (method == endpoint_loads_method) {
+        result = read_endpoint_loads(in, params);
     } else {
         in.add_error("message.method", "is unknown");
     }
--- a/packages/edge/peer_message.h
+++ b/packages/edge/peer_message.h
@@ -1,14 +1,18 @@
 // The messages between instances: demand reports, which also serve as heartbeats; the sums that a collector
 // returns; requests for tokens of the rate limits of workspaces and endpoints, with their answers; and
 // questions whether a copy of the store is up to date, with their answers; and reports of requests under
-// which endpoints end, with their quarantines. Each is a JSON-RPC notification in a datagram of its own.
+// which endpoints end, with their quarantines; and the load of endpoints. Each is a JSON-RPC notification in
+// a datagram of its own.
 
 #pragma once
 
+#include "core/name_table.h"
 #include "core/time.h"
 #include "dispatch/request_quarantine.h"
+#include "placement/load_report.h"
 #include "quota/demand.h"
 
+#include <map>
 #include <set>
 #include <string>
 #include <string_view>
@@ -87,10 +91,43 @@
     dispatch::quarantine_notice notice;
 };
 
+// Who sends load reports to whom.
+enum class load_scope {
+    // An instance sends the reports that it received from endpoints to the collector of its zone.
+    instance,
+    // The collector of a zone sends those of its zone to the collectors of the other zones.
+    zone,
+    // A collector sends those of all zones to the instances of its zone.
+    fleet,
+};
+
+inline constexpr core::name_table load_scope_names{std::array<core::named_value<load_scope>, 3>{{
+    {load_scope::instance, "instance"},
+    {load_scope::zone, "zone"},
+    {load_scope::fleet, "fleet"},
+}}};
+
+struct shared_load {
+    placement::load_report report;
+    // How long before this message was sent the endpoint sent the report.
+    core::duration age{0};
+};
+
+// Tells the load of endpoints that an instance has learnt from their responses.
+struct endpoint_loads_message {
+    std::string instance;
+    load_scope scope = load_scope::instance;
+    // By the id of the endpoint; at most max_shared_loads.
+    std::map<std::string, shared_load> loads;
+};
+
+// The loads that fit into one datagram.
+inline constexpr std::size_t max_shared_loads = 300;
+
 using peer_message =
     std::variant<demand_report_message, demand_sums_message, token_request_message,
                  endpoint_token_request_message, token_answer_message, confirmation_request_message,
-                 confirmation_message, endpoint_end_message, quarantine_message>;
+                 confirmation_message, endpoint_end_message, quarantine_message, endpoint_loads_message>;
 
 // Return the message as the JSON text of a datagram.
 std::string to_text(const demand_report_message& message);
@@ -102,6 +139,7 @@
 std::string to_text(const confirmation_message& message);
 std::string to_text(const endpoint_end_message& message);
 std::string to_text(const quarantine_message& message);
+std::string to_text(const endpoint_loads_message& message);
 
 // Parses a datagram; the source names the sender in errors. Throws core::findings_error if the text is not a
 // valid message.
--- a/packages/placement/cold_start.h
+++ b/packages/placement/cold_start.h
@@ -50,6 +50,8 @@
     // The hashes of all instances including this one, sorted. They rank the instances by rendezvous hashing.
     std::vector<std::uint64_t> instance_hashes;
     std::uint64_t own_hash = 0;
+    // The number of instances in this instance's region; at least 1.
+    std::uint32_t region_size = 1;
 };
 
 // Returns how many requests this instance may send to the endpoint in one second while the endpoint is cold.
--- a/packages/placement/endpoint.h
+++ b/packages/placement/endpoint.h
@@ -68,9 +68,14 @@
     core::duration average_latency{0};
     // Until this time other endpoints are preferred because it is much slower than the others of its service.
     core::instant slow_until;
-    // The last load report and when it arrived; no value before the first.
+    // The newest load report, from a response to this instance or from another instance, and when the
+    // endpoint sent it; no value before the first.
     std::optional<load_report> reported_load;
     core::instant load_reported_at;
+    // Whether the newest report is from a response to this instance that the others have not been told of.
+    bool is_load_unshared = false;
+    // Whether the others were last told that the endpoint is busy or slow.
+    bool is_shared_as_busy = false;
     // Until this time it receives no request, because it asked for that when it turned one away.
     core::instant waits_until;
     // The requests per second that it takes from all instances together, as its last response says; infinity
--- a/packages/placement/endpoint_selection.cpp
+++ b/packages/placement/endpoint_selection.cpp
@@ -128,6 +128,44 @@
     return best.level == penalty_level::full ? scored_endpoint() : best;
 }
 
+// Returns the endpoint with the lowest expected time of the first ones in the object's order, or one without
+// an entry if all of them are full. Endpoints that are failing are used if no other is left.
+scored_endpoint choose_by_expected_time(std::vector<scored_endpoint>& usable, std::size_t max_choices,
+                                        const endpoint_selection_request& request,
+                                        const endpoint_selection_options& options, core::instant now)
+{
+    const std::vector<scored_endpoint>::iterator failing =
+        std::partition(usable.begin(), usable.end(),
+                       [](const scored_endpoint& entry) { return entry.level <= penalty_level::full; });
+    if (failing == usable.begin()) {
+        return choose(usable, max_choices);
+    }
+    const std::size_t healthy = static_cast<std::size_t>(failing - usable.begin());
+    const std::size_t count = std::min(max_choices, healthy);
+    std::partial_sort(
+        usable.begin(), usable.begin() + static_cast<std::ptrdiff_t>(count), failing,
+        [](const scored_endpoint& left, const scored_endpoint& right) { return left.score < right.score; });
+    const double relocation_cost = request.affinity.empty() ? 0 : options.relocation_cost;
+    const std::uint64_t request_hash = core::stable_hash(request.request_id);
+    scored_endpoint best;
+    double best_time = std::numeric_limits<double>::max();
+    for (std::size_t index = 0; index < count; ++index) {
+        const scored_endpoint& candidate = usable[index];
+        if (candidate.level == penalty_level::full) {
+            continue;
+        }
+        const endpoint& target = **candidate.entry;
+        const double jitter = options.jitter * hash_to_unit_interval(request_hash, target.id_hash);
+        const double time = estimate_time(target, options.expected_time, now) * (1 + jitter) +
+                            (index == 0 ? 0 : relocation_cost);
+        if (time < best_time) {
+            best_time = time;
+            best = candidate;
+        }
+    }
+    return best;
+}
+
 } // namespace
 
 endpoint_selection select_endpoint(const endpoint_catalog& catalog, const endpoint_selection_request& request,
@@ -173,8 +211,11 @@
         }
     }
     const bool has_object = !request.affinity.empty();
+    const std::size_t max_choices = request.max_choices > 0 ? request.max_choices : options.max_busy_choices;
     const scored_endpoint chosen =
-        choose(usable, has_object ? options.max_busy_choices : std::numeric_limits<std::size_t>::max());
+        request.uses_expected_time
+            ? choose_by_expected_time(usable, max_choices, request, options, now)
+            : choose(usable, has_object ? max_choices : std::numeric_limits<std::size_t>::max());
     if (chosen.entry != nullptr) {
         result.target = *chosen.entry;
         result.is_spilled = chosen.score > lowest_score;
--- a/packages/placement/endpoint_selection.h
+++ b/packages/placement/endpoint_selection.h
@@ -9,6 +9,7 @@
 
 #include "placement/cold_start.h"
 #include "placement/endpoint_catalog.h"
+#include "placement/expected_time.h"
 #include "placement/rate_limit.h"
 
 #include <functional>
@@ -47,6 +48,15 @@
     // An endpoint that has been known for this long without receiving any request is sent one, so that it is
     // used even if no object is assigned to it.
     core::duration first_request_delay = std::chrono::milliseconds(800);
+    // Used where the load of endpoints is shared between instances.
+    expected_time_options expected_time;
+    // The expected time that any other endpoint must save over the first one in the object's order to be
+    // chosen instead, in multiples of the usual time to process a request. An endpoint that does not know the
+    // object needs several times the work, but soon knows an object that is sent there again and again.
+    double relocation_cost = 0.5;
+    // The expected time of each endpoint is lengthened by a random part of up to this fraction of it. All
+    // instances know the same loads, and would otherwise choose the same endpoint until the next report.
+    double jitter = 0.2;
 };
 
 struct endpoint_selection_request {
@@ -66,6 +76,11 @@
     bool is_repeatable = false;
     // Whether endpoints with a rate limit are left out.
     bool skips_rate_limited = false;
+    // Whether the endpoint with the lowest expected time is chosen, since their load is known. Otherwise the
+    // first one in the object's order that is not busy is.
+    bool uses_expected_time = false;
+    // The endpoints that may serve the object; 0 for the number in the options.
+    std::size_t max_choices = 0;
     cold_limit cold;
     // Returns whether an idle connection to the endpoint was opened at the time or before. Empty if there is
     // no idle connection to any endpoint.
@@ -94,8 +109,9 @@
     std::uint32_t candidates = 0;
 };
 
-// Selects the endpoint with the lowest penalty and, among equals, the first one in the object's order. An
-// endpoint that is due its first request takes precedence.
+// Selects the endpoint with the lowest penalty and, among equals, the first one in the object's order or,
+// with uses_expected_time, the one with the lowest expected time of the first ones. An endpoint that is due
+// its first request takes precedence.
 endpoint_selection select_endpoint(const endpoint_catalog& catalog, const endpoint_selection_request& request,
                                    const fleet_view& fleet, const endpoint_selection_options& options,
                                    core::instant now);
--- a/packages/placement/load_report.cpp
+++ b/packages/placement/load_report.cpp
@@ -8,26 +8,46 @@
 namespace quetzalspan::placement
 {
 
+namespace
+{
+
+constexpr std::size_t min_numbers = 3;
+constexpr std::size_t max_numbers = 4;
+
+} // namespace
+
 std::optional<load_report> parse_load_report(std::string_view text)
 {
-    std::array<std::uint32_t, 3> numbers{};
+    std::array<std::uint32_t, max_numbers> numbers{};
+    std::size_t count = 0;
     const char* position = text.data();
     const char* const end = text.data() + text.size();
-    for (std::size_t index = 0; index < numbers.size(); ++index) {
-        if (index > 0) {
-            if (position == end || *position != ',') {
-                return std::nullopt;
-            }
-            ++position;
-        }
-        const std::from_chars_result parsed = std::from_chars(position, end, numbers[index]);
+    while (count < max_numbers) {
+        const std::from_chars_result parsed = std::from_chars(position, end, numbers[count]);
         if (parsed.ec != std::errc()) {
             return std::nullopt;
         }
+        ++count;
         position = parsed.ptr;
+        if (position == end) {
+            break;
+        }
+        if (*position != ',') {
+            return std::nullopt;
+        }
+        ++position;
+    }
+    const bool has_pace = count == max_numbers;
+    const bool ends_with_comma = !text.empty() && text.back() == ',';
+    if (count < min_numbers || position != end || ends_with_comma || numbers[2] == 0 ||
+        (has_pace && numbers[3] == 0)) {
+        return std::nullopt;
+    }
+    load_report result{numbers[0], numbers[1], numbers[2]};
+    if (has_pace) {
+        result.pace_percent = numbers[3];
     }
-    const bool is_valid = position == end && numbers[2] > 0;
-    return is_valid ? std::optional<load_report>({numbers[0], numbers[1], numbers[2]}) : std::nullopt;
+    return result;
 }
 
 } // namespace quetzalspan::placement
