Edge: Date load reports from their arrival and bound what is exchanged

Ages are rounded up, and a report has to be 20 ms newer to replace the known one; - 300 loads with long ids exceeded a datagram. A message has 200 at most; - an instance of a small fleet kept and used reports of others. It ignores them; - sums of absurd numbers overflowed. Numbers above a million are rejected; - a request without an object was rejected when its two endpoints were full. Full ones no longer use up its choices.

--- a/packages/edge/endpoint_balancer.cpp
+++ b/packages/edge/endpoint_balancer.cpp
@@ -24,6 +24,8 @@
 // Under overload many requests find no endpoint.
 constexpr double no_endpoint_lines_per_second = 20;
 
+constexpr const char* endpoint_tokens_help = "Requests that needed a token of an endpoint's rate limit.";
+
 constexpr double load_report_lines_per_second = 1;
 constexpr std::size_t logged_load_report_chars = 64;
 
@@ -32,6 +34,9 @@
 constexpr std::uint32_t busy_free_slots = 2;
 constexpr std::uint32_t slow_pace_percent = 120;
 
+// A report that comes back from other instances seems newer by the time that it spent in queues.
+constexpr core::duration min_report_distance = std::chrono::milliseconds(20);
+
 // The weight of the newest response in the average time of a service.
 constexpr double service_time_weight = 0.02;
 
@@ -41,8 +46,6 @@
            report.pace_percent.value_or(0) > slow_pace_percent;
 }
 
-constexpr const char* endpoint_tokens_help = "Requests that needed a token of an endpoint's rate limit.";
-
 std::string rate_text(double per_second)
 {
     if (std::isinf(per_second)) {
@@ -380,7 +383,9 @@
     if (result.is_draining && m_catalog.mark_leaving(*target)) {
         m_leaving.add();
     }
-    record_load_report(target, result.load_report, now);
+    // The response may have been relayed slowly since the endpoint sent its header with the report.
+    const core::instant reported_at = std::min(now, sent + result.time_to_header);
+    record_load_report(target, result.load_report, reported_at, now);
     if (outcome == attempt_outcome::success) {
         record_service_time(*target, result.time_to_header);
     }
@@ -421,7 +426,7 @@
 }
 
 void endpoint_balancer::record_load_report(const endpoint_pointer& target, const std::string& text,
-                                           core::instant now)
+                                           core::instant reported_at, core::instant now)
 {
     if (text.empty()) {
         return;
@@ -437,8 +442,11 @@
         }
         return;
     }
+    if (target->reported_load && reported_at < target->load_reported_at) {
+        return;
+    }
     target->reported_load = load;
-    target->load_reported_at = now;
+    target->load_reported_at = reported_at;
     const bool is_shared = m_position.size >= m_options.min_load_sharing_fleet;
     if (is_shared && !std::exchange(target->is_load_unshared, true)) {
         m_unshared_loads.push_back(target);
@@ -475,7 +483,8 @@
     for (const auto& [id, load] : loads) {
         const endpoint_pointer target = m_catalog.find(id);
         const core::instant reported_at = now - load.age;
-        if (target && (!target->reported_load || reported_at > target->load_reported_at)) {
+        if (target &&
+            (!target->reported_load || reported_at > target->load_reported_at + min_report_distance)) {
             target->reported_load = load.report;
             target->load_reported_at = reported_at;
             target->is_load_unshared = false;
--- a/packages/edge/endpoint_balancer.h
+++ b/packages/edge/endpoint_balancer.h
@@ -164,8 +164,9 @@
     void record_incarnation_evidence(placement::endpoint& target, const std::string& request_id,
                                      const caller::attempt_result& result, placement::attempt_outcome outcome,
                                      core::instant sent, core::instant now);
+    // reported_at is when the endpoint's report arrived. A malformed report is counted and logged.
     void record_load_report(const placement::endpoint_pointer& target, const std::string& text,
-                            core::instant now);
+                            core::instant reported_at, core::instant now);
     // Returns how many endpoints may serve the object of the request, and counts the request.
     std::size_t find_spread(const attempt_request& request, core::instant now);
     void update_rate_limit(placement::endpoint& target, const std::string& request_id, double rate_limit);
--- a/packages/edge/load_exchange.cpp
+++ b/packages/edge/load_exchange.cpp
@@ -46,6 +46,9 @@
 
 void load_exchange::handle_message(const endpoint_loads_message& message, core::instant now)
 {
+    if (!m_hooks.is_needed()) {
+        return;
+    }
     m_received.add(message.loads.size());
     m_collector.add(message.loads, message.scope, now);
     m_hooks.apply(message.loads, now);
--- a/packages/edge/peer_message.cpp
+++ b/packages/edge/peer_message.cpp
@@ -202,7 +202,8 @@
 
 Json::Value to_json(const shared_load& load)
 {
-    const std::int64_t age_ms = std::clamp<std::int64_t>(core::to_milliseconds(load.age), 0,
+    // Rounded up, since a report that seems younger than it is would replace newer ones.
+    const std::int64_t age_ms = std::clamp<std::int64_t>(core::to_milliseconds(load.age) + 1, 0,
                                                          static_cast<std::int64_t>(max_load_age_ms));
     const auto limit = [](std::uint64_t number) { return Json::UInt64(std::min(number, max_load_number)); };
     Json::Value value(Json::arrayValue);
@@ -227,7 +228,7 @@
                          }
                          ++count;
                      });
-    if (count != load_number_count || numbers[2] == 0) {
+    if (count != load_number_count || numbers[2] == 0 || numbers[4] > max_load_age_ms) {
         in.add_error("loads." + endpoint, "is not a load");
     }
     shared_load result;
--- a/packages/edge/peer_message.h
+++ b/packages/edge/peer_message.h
@@ -121,8 +121,8 @@
     std::map<std::string, shared_load> loads;
 };
 
-// The loads that fit into one datagram.
-inline constexpr std::size_t max_shared_loads = 300;
+// The loads that fit into one datagram, with ids of up to 36 characters.
+inline constexpr std::size_t max_shared_loads = 200;
 
 using peer_message =
     std::variant<demand_report_message, demand_sums_message, token_request_message,
--- a/packages/edge/tests/load_exchange_test.cpp
+++ b/packages/edge/tests/load_exchange_test.cpp
@@ -47,12 +47,14 @@
     CHECK(parsed.scope == load_scope::zone);
     CHECK_EQUAL(2U, parsed.loads.size());
     CHECK(parsed.loads.at("e1").report == sent.loads.at("e1").report);
-    CHECK(parsed.loads.at("e1").age == milliseconds(40));
+    // Ages are rounded up, so that a report that is passed on never seems newer than the original.
+    CHECK(parsed.loads.at("e1").age == milliseconds(41));
     CHECK_FALSE(parsed.loads.at("e2").report.pace_percent.has_value());
     const std::string head = R"({"method":"endpoint_loads","params":{"instance":"a","scope":"zone","loads":)";
-    for (const char* loads : {"7", "[]", R"({"e":7})", R"({"e":[1,2,3,4]})", R"({"e":[1,2,3,4,5,6]})",
-                              R"({"e":[1,2,0,100,5]})", R"({"e":[-1,2,3,100,5]})", R"({"e":[1,2,3,1.5,5]})",
-                              R"({"e":[1,2,3,99999999,5]})", R"({"e":["1",2,3,4,5]})"}) {
+    for (const char* loads :
+         {"7", "[]", R"({"e":7})", R"({"e":[1,2,3,4]})", R"({"e":[1,2,3,4,5,6]})", R"({"e":[1,2,0,100,5]})",
+          R"({"e":[-1,2,3,100,5]})", R"({"e":[1,2,3,1.5,5]})", R"({"e":[1,2,3,99999999,5]})",
+          R"({"e":[1,2,3,100,70000]})", R"({"e":["1",2,3,4,5]})"}) {
         CHECK_THROWS(core::findings_error, parse_peer_message(head + loads + "}}", "test"));
     }
     CHECK_THROWS(core::findings_error,
@@ -99,12 +101,14 @@
     load_collector::loads applied;
     // The receivers of messages, with the scope.
     std::vector<std::string> sent;
+    std::size_t largest_message_bytes = 0;
+    bool is_needed = true;
     std::unique_ptr<load_exchange> exchange;
 
     void setup() override
     {
         load_exchange::hooks hooks;
-        hooks.is_needed = [] { return true; };
+        hooks.is_needed = [this] { return is_needed; };
         hooks.take_own_loads = [this](core::instant) { return std::exchange(own_loads, {}); };
         hooks.apply = [this](const load_collector::loads& loads, core::instant) { applied = loads; };
         hooks.collectors = [this](core::instant) { return collectors; };
@@ -112,6 +116,7 @@
         hooks.send = [this](const instance_record& target, const std::string& text) {
             const endpoint_loads_message message =
                 std::get<endpoint_loads_message>(parse_peer_message(text, "test"));
+            largest_message_bytes = std::max(largest_message_bytes, text.size());
             sent.push_back(target.instance + " " + std::string(load_scope_names.name(message.scope)));
             return true;
         };
@@ -161,11 +166,23 @@
     CHECK_TRUE(own_loads.empty());
 }
 
+// Guards against reports that pile up, or take effect, at an instance of a fleet that is too small to share
+// them.
+TEST(load_exchange, without_need_reports_are_ignored)
+{
+    is_needed = false;
+    exchange->handle_message({"near", load_scope::instance, one_load}, start);
+    CHECK_TRUE(applied.empty());
+    CHECK(send_twice().empty());
+}
+
 // Guards against a datagram that is larger than receivers accept.
 TEST(load_exchange, many_reports_are_split)
 {
     for (std::size_t index = 0; index < max_shared_loads + 1; ++index) {
-        own_loads["endpoint-" + std::to_string(index)] = {{6, 4, 6, 250}, milliseconds(40)};
+        const std::string id = std::to_string(100'000 + index) + "-0123456789abcdef0123456789abc";
+        own_loads[id] = {{1'000'000, 1'000'000, 1'000'000, 1'000'000}, seconds(1)};
     }
     CHECK_EQUAL(2U, send_twice().size());
+    CHECK(largest_message_bytes <= 16 * 1024);
 }
--- a/packages/placement/endpoint_selection.cpp
+++ b/packages/placement/endpoint_selection.cpp
@@ -140,10 +140,16 @@
     if (failing == usable.begin()) {
         return choose(usable, max_choices);
     }
-    const std::size_t healthy = static_cast<std::size_t>(failing - usable.begin());
+    // A request that concerns no object may go to any endpoint, so full ones do not use up its choices.
+    const std::vector<scored_endpoint>::iterator end =
+        request.affinity.empty()
+            ? std::partition(usable.begin(), failing,
+                             [](const scored_endpoint& entry) { return entry.level < penalty_level::full; })
+            : failing;
+    const std::size_t healthy = static_cast<std::size_t>(end - usable.begin());
     const std::size_t count = std::min(max_choices, healthy);
     std::partial_sort(
-        usable.begin(), usable.begin() + static_cast<std::ptrdiff_t>(count), failing,
+        usable.begin(), usable.begin() + static_cast<std::ptrdiff_t>(count), end,
         [](const scored_endpoint& left, const scored_endpoint& right) { return left.score < right.score; });
     const double relocation_cost = request.affinity.empty() ? 0 : options.relocation_cost;
     const std::uint64_t request_hash = core::stable_hash(request.request_id);
--- a/packages/placement/load_report.cpp
+++ b/packages/placement/load_report.cpp
@@ -13,6 +13,8 @@
 
 constexpr std::size_t min_numbers = 3;
 constexpr std::size_t max_numbers = 4;
+// Far above the requests that an endpoint holds and any pace.
+constexpr std::uint32_t max_number = 1'000'000;
 
 } // namespace
 
@@ -24,7 +26,7 @@
     const char* const end = text.data() + text.size();
     while (count < max_numbers) {
         const std::from_chars_result parsed = std::from_chars(position, end, numbers[count]);
-        if (parsed.ec != std::errc()) {
+        if (parsed.ec != std::errc() || numbers[count] > max_number) {
             return std::nullopt;
         }
         ++count;
--- a/packages/placement/load_report.h
+++ b/packages/placement/load_report.h
@@ -23,7 +23,7 @@
 };
 
 // Parses three or four decimal numbers, separated by commas, in the order of the members. Returns no value if
-// the text is anything else, or if the slots or the pace are 0.
+// the text is anything else, if a number is above a million, or if the slots or the pace are 0.
 std::optional<load_report> parse_load_report(std::string_view text);
 
 } // namespace quetzalspan::placement
--- a/packages/placement/tests/expected_time_test.cpp
+++ b/packages/placement/tests/expected_time_test.cpp
@@ -118,8 +118,9 @@
     CHECK_TRUE(report.has_value());
     CHECK(*report == (load_report{3, 12, 9, 250}));
     CHECK_FALSE(parse_load_report("3,12,9")->pace_percent.has_value());
-    for (const char* text : {"3,12,9,0", "3,12,9,", "3,12,9,100,", "3,12,9,100,1", "3,12,9,-1", "3,12,9,1e2",
-                             "3,12,0,100", "3,12,9,99999999999", "3,12,9, 100", ",3,12,9"}) {
+    for (const char* text :
+         {"3,12,9,0", "3,12,9,", "3,12,9,100,", "3,12,9,100,1", "3,12,9,-1", "3,12,9,1e2", "3,12,0,100",
+          "3,12,9,99999999999", "4294967295,0,6", "3,12,9, 100", ",3,12,9"}) {
         CHECK_FALSE(parse_load_report(text).has_value());
     }
 }
@@ -261,6 +262,17 @@
     }
 }
 
+// Guards against rejecting a request that concerns no object because two endpoints are full.
+TEST(choice_by_expected_time, a_request_without_an_object_finds_the_last_free_endpoint)
+{
+    for (const endpoint_pointer& entry : endpoints.find_service("orders")) {
+        entry->outstanding_requests = entry->record.id == "e7" ? 0 : options.max_outstanding;
+    }
+    for (int id = 0; id < 20; ++id) {
+        CHECK_EQUAL(std::string("e7"), choose("", std::to_string(id), start)->record.id);
+    }
+}
+
 // Guards against requests that wait at a slow or busy endpoint while another one that knows the object is
 // idle, and against instances that all choose the same one.
 TEST(choice_by_expected_time, busy_and_slow_endpoints_are_avoided)
