--- a/packages/placement/object_spread.h
+++ b/packages/placement/object_spread.h
@@ -17,7 +17,7 @@
 
 struct object_spread_options {
     // The endpoints of an object that is seldom requested. With one, a busy or slow endpoint could not be
-    // avoided; with three or more, each endpoint has more objects than it remembers.
+    // avoided; with more, endpoints forget objects between their requests.
     std::size_t min_endpoints = 2;
     std::size_t max_endpoints = 32;
     // The fraction of an endpoint's slots that one object may use.
@@ -33,7 +33,7 @@
     std::uint64_t object_hash = 0;
     // The instances that receive requests for the object about as often as this one, itself included.
     std::uint32_t instances = 1;
-    // The time that an endpoint needs for a request to an object that it knows, in seconds.
+    // The average time that endpoints need for a request, in seconds.
     double service_seconds = 0;
     std::uint32_t slots_per_endpoint = 1;
 };
