--- a/packages/edge/peer_message.h
+++ b/packages/edge/peer_message.h
@@ -1,8 +1,9 @@
-// The messages between instances: demand reports, which also serve as heartbeats; the sums that a collector
-// returns; requests for tokens of the rate limits of workspaces and endpoints, with their answers; and
-// questions whether a copy of the store is up to date, with their answers; and reports of requests under
-// which endpoints end, with their quarantines; and the load of endpoints. Each is a JSON-RPC notification in
-// a datagram of its own.
+// The messages between instances, each a JSON-RPC notification in a datagram of its own:
+// - demand reports, which also serve as heartbeats, and the sums that a collector returns;
+// - requests for tokens of the rate limits of workspaces and endpoints, with their answers;
+// - questions whether a copy of the store is up to date, with their answers;
+// - reports of requests under which endpoints end, with their quarantines;
+// - the load of endpoints.
 
 #pragma once
 
--- a/packages/placement/endpoint_selection.h
+++ b/packages/placement/endpoint_selection.h
@@ -77,7 +77,8 @@
     // Whether endpoints with a rate limit are left out.
     bool skips_rate_limited = false;
     // Whether the endpoint with the lowest expected time is chosen, since their load is known. Otherwise the
-    // first one in the object's order that is not busy is.
+    // first one in the object's order that is not busy is. With it, spill_threshold and
+    // spill_waiting_per_slot have no effect.
     bool uses_expected_time = false;
     // The endpoints that may serve the object; 0 for the number in the options.
     std::size_t max_choices = 0;
--- a/packages/placement/expected_time.h
+++ b/packages/placement/expected_time.h
@@ -22,7 +22,8 @@
     double shed_penalty = 2;
 };
 
-// Returns how many requests run or wait at the endpoint, from all instances as far as this one knows.
+// Returns how many requests run or wait at the endpoint, from all instances as far as this one knows; without
+// a recent report, only those of this instance.
 double estimate_requests(const endpoint& target, const expected_time_options& options, core::instant now);
 
 // Returns the expected time from sending a request to the endpoint until its response, in multiples of the
