--- a/review/standins-2/deployment.cpp
+++ b/review/standins-2/deployment.cpp
@@ -2,6 +2,7 @@
 
 #include "deployment.h"
 
+#include <algorithm>
 #include <csignal>
 #include <cstdio>
 #include <sstream>
@@ -40,8 +41,11 @@
 self.limits.diskMb=0
 network.internalPortRange=7220,7235
 network.zones.uus-a=uusimaa
-network.zones.uus-b=uusimaa
 network.zones.savo-a=savo
+network.zones.pohj-a=pohjanmaa
+network.zones.uus-b=uusimaa
+network.zones.savo-b=savo
+network.zones.pohj-b=pohjanmaa
 platform.discovery=platform
 platform.entry=directory
 platform.heartbeatIntervalMs=1500
@@ -73,6 +77,12 @@
 terms.bounds.maxShift=0.15
 )";
 
+std::string find_region(const std::string& zone)
+{
+    const std::string place = zone.substr(0, zone.find('-'));
+    return place == "uus" ? "uusimaa" : place == "savo" ? "savo" : "pohjanmaa";
+}
+
 } // namespace
 
 recorder::recorder(const std::string& path) : m_file(path), m_start(std::chrono::steady_clock::now()) {}
@@ -90,8 +100,9 @@
     m_file << time << line << std::endl;
 }
 
-endpoint_standin::endpoint_standin(std::string id, const std::string& host, recorder& record)
-    : m_id(std::move(id)), m_host(host), m_record(record), m_listener(host)
+endpoint_standin::endpoint_standin(std::string id, const std::string& host,
+                                   std::chrono::milliseconds work_time, recorder& record)
+    : m_id(std::move(id)), m_host(host), m_work_time(work_time), m_record(record), m_listener(host)
 {
     m_born = std::chrono::duration_cast<std::chrono::milliseconds>(
                  std::chrono::system_clock::now().time_since_epoch())
@@ -108,7 +119,7 @@
     return text.str();
 }
 
-std::set<std::string> endpoint_standin::runs() const
+std::map<std::string, double> endpoint_standin::runs() const
 {
     const std::lock_guard<std::mutex> guard(m_mutex);
     return m_runs;
@@ -142,10 +153,11 @@
     }
     {
         const std::lock_guard<std::mutex> guard(m_mutex);
-        m_runs.insert(id);
+        m_runs.emplace(id, m_record.now());
     }
     m_record.write("endpoint " + m_id + " runs " + id + " for tenant " +
                    request.field("quetzalspan-tenant-id"));
+    std::this_thread::sleep_for(m_work_time);
     const std::string body = "answer to " + id;
     return "HTTP/1.1 200 OK\r\n" + echo + "Quetzalspan-Server-Signature: s." + id +
            "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
@@ -157,9 +169,8 @@
 {
     std::ofstream settings(m_folder + "/" + m_name + ".conf");
     settings << "self.nodeName=" << m_name << "\nself.ip=" << m_address << "\nself.zone=" << zone
-             << "\nself.region=" << (zone == "savo-a" ? "savo" : "uusimaa")
-             << "\nnetwork.listen.front=" << m_address << ":8668\nnetwork.listen.ready=" << m_address
-             << ":8666\nnetwork.listen.control=" << m_address
+             << "\nself.region=" << find_region(zone) << "\nnetwork.listen.front=" << m_address
+             << ":8668\nnetwork.listen.ready=" << m_address << ":8666\nnetwork.listen.control=" << m_address
              << ":8667\nnetwork.listen.directory=" << m_address
              << ":8665\nplatform.platform.address=" << store << "\n"
              << common_settings;
@@ -239,17 +250,41 @@
            std::to_string(10 + index);
 }
 
+std::string make_request_id(std::uint64_t number)
+{
+    constexpr std::size_t digits = 16;
+    std::ostringstream text;
+    text << std::hex << number;
+    return std::string(digits - std::min(digits, text.str().size()), '0') + text.str();
+}
+
+std::string make_request(const std::string& id, const std::string& key)
+{
+    return "GET /browse/2f HTTP/1.1\r\nHost: ficu95.example\r\nQuetzalspan-Request-Id: " + id +
+           "\r\nQuetzalspan-Request-Deadline-Ms: " + std::to_string(request_time.count()) +
+           "\r\nCookie: Quetzalspan-Affinity-Key=" + id.substr(id.size() - 1) + "\r\nApi-Key: " + key +
+           "\r\n\r\n";
+}
+
+std::string make_configuration(const std::string& version, const std::string& keys)
+{
+    return R"({"version":")" + version +
+           R"(","routes":{"r-1":{"host":"ficu95.example","prefix":"/browse/","kind":"safe","timeoutMs":2000,)"
+           R"("targetLatencyMs":250,"priority":2,"service":"huvo11a","maxAttempts":2,"public":false,)"
+           R"("sessionAffinity":true,"homeRegions":[]}},"services":{"huvo11a":{"healthCheckPath":"/health",)"
+           R"("maxConnections":330,"protocol":"h1","tls":false,"coldStartS":3.0,"coldPerS":4.8}},)"
+           R"("limits":{"maxHeaderBytes":16384,"maxBodyBytes":67108864,"headerTimeoutMs":3000,)"
+           R"("idleTimeoutMs":15000},"tenants":{"kaje80":{"apiKeys":[)" +
+           keys + R"(],"priority":1,"ratePerS":95,"burst":95,"homeRegions":[]}}})";
+}
+
 unsigned send_request(recorder& record, const std::string& address, const std::string& id,
                       const std::string& key)
 {
     record.write("client sends " + id + " with " + key + " to " + address);
     unsigned status = 0;
     std::optional<http_channel> channel = http_channel::connect(address, caller_port);
-    const std::string text =
-        "GET /browse/2f HTTP/1.1\r\nHost: ficu95.example\r\nQuetzalspan-Request-Id: " + id +
-        "\r\nQuetzalspan-Request-Deadline-Ms: " + std::to_string(request_time.count()) +
-        "\r\nApi-Key: " + key + "\r\n\r\n";
-    if (channel && channel->write(text)) {
+    if (channel && channel->write(make_request(id, key))) {
         const std::optional<http_message> answer =
             channel->read(std::chrono::steady_clock::now() + request_time + std::chrono::seconds(1));
         status = answer ? static_cast<unsigned>(std::stoul(answer->word(1))) : 0;
--- a/review/standins-2/deployment.h
+++ b/review/standins-2/deployment.h
@@ -10,7 +10,6 @@
 #include <map>
 #include <memory>
 #include <mutex>
-#include <set>
 #include <string>
 #include <vector>
 
@@ -39,13 +38,16 @@
 class endpoint_standin
 {
 public:
-    endpoint_standin(std::string id, const std::string& host, recorder& record);
+    // The endpoint works on each request for the given time.
+    endpoint_standin(std::string id, const std::string& host, std::chrono::milliseconds work_time,
+                     recorder& record);
 
     const std::string& id() const { return m_id; }
     // Returns the entry that the endpoint writes into the store.
     std::string entry(const std::string& service, const std::string& zone) const;
-    // Returns the identifiers of the requests that have run.
-    std::set<std::string> runs() const;
+    // Returns the identifiers of the requests that have run, and when they arrived, in seconds of the
+    // recorder.
+    std::map<std::string, double> runs() const;
 
 private:
     void serve_channels();
@@ -54,11 +56,12 @@
 
     std::string m_id;
     std::string m_host;
+    std::chrono::milliseconds m_work_time;
     recorder& m_record;
     http_listener m_listener;
     std::int64_t m_born = 0;
     mutable std::mutex m_mutex;
-    std::set<std::string> m_runs;
+    std::map<std::string, double> m_runs;
 };
 
 // One instance of the deploy file, a separate process with a settings file of its own. Not thread-safe.
@@ -92,6 +95,16 @@
 // Returns a loopback address that no other process uses now, different for each index.
 std::string loopback_address(unsigned index);
 
+// Returns a request identifier for a number.
+std::string make_request_id(std::uint64_t number);
+
+// Returns the text of a request to the route of make_configuration().
+std::string make_request(const std::string& id, const std::string& key);
+
+// Returns a configuration with one safe route to the service huvo11a and one tenant, kaje80, whose limit is
+// 95 requests a second and a burst of 95. The keys are quoted and separated by commas.
+std::string make_configuration(const std::string& version, const std::string& keys);
+
 // Sends a request on a new channel and records it. Returns the status of the answer, or 0 if there is none.
 unsigned send_request(recorder& record, const std::string& address, const std::string& id,
                       const std::string& key);
--- a/review/standins-2/drill_after_revocation.cpp
+++ b/review/standins-2/drill_after_revocation.cpp
@@ -8,6 +8,7 @@
 #include <cstdlib>
 #include <exception>
 #include <iostream>
+#include <set>
 #include <thread>
 
 #include <unistd.h>
@@ -22,18 +23,6 @@
 constexpr const char* kept_key = "b9wu3fexd9dnn2ctnfzs";
 constexpr const char* revoked_key = "989anu6wsjnbanfqasnm";
 
-std::string make_configuration(const std::string& version, const std::string& keys)
-{
-    return R"({"version":")" + version +
-           R"(","routes":{"r-1":{"host":"ficu95.example","prefix":"/browse/","kind":"safe","timeoutMs":2000,)"
-           R"("targetLatencyMs":250,"priority":2,"service":"huvo11a","maxAttempts":2,"public":false,)"
-           R"("sessionAffinity":true,"homeRegions":[]}},"services":{"huvo11a":{"healthCheckPath":"/health",)"
-           R"("maxConnections":330,"protocol":"h1","tls":false,"coldStartS":3.0,"coldPerS":4.8}},)"
-           R"("limits":{"maxHeaderBytes":16384,"maxBodyBytes":67108864,"headerTimeoutMs":3000,)"
-           R"("idleTimeoutMs":15000},"tenants":{"kaje80":{"apiKeys":[)" +
-           keys + R"(],"priority":1,"ratePerS":95,"burst":95,"homeRegions":[]}}})";
-}
-
 std::string quote(const std::string& text)
 {
     return "\"" + text + "\"";
@@ -50,7 +39,7 @@
         for (unsigned index = 0; index < 3; ++index) {
             const std::string number = std::to_string(index + 1);
             m_endpoints.push_back(std::make_unique<review::endpoint_standin>(
-                "i-7f3a91c" + number, review::loopback_address(10 + index), m_record));
+                "i-7f3a91c" + number, review::loopback_address(10 + index), milliseconds(0), m_record));
             m_instances.push_back(std::make_unique<review::instance_process>(
                 "front-" + number, review::loopback_address(index), zones[index], folder, store_address));
             m_store.put("servers/" + m_endpoints.back()->id(),
@@ -60,7 +49,8 @@
 
     int run()
     {
-        m_store.put("op/config", make_configuration("r7", quote(kept_key) + "," + quote(revoked_key)));
+        m_store.put("op/config",
+                    review::make_configuration("r7", quote(kept_key) + "," + quote(revoked_key)));
         for (const std::unique_ptr<review::instance_process>& entry : m_instances) {
             entry->start();
         }
@@ -77,7 +67,7 @@
         pause(milliseconds(1000));
         const review::store_contents copy = m_store.copy();
         pause(milliseconds(1000));
-        const std::string newer = make_configuration("r12", quote(kept_key));
+        const std::string newer = review::make_configuration("r12", quote(kept_key));
         m_store.put("op/config", newer);
         m_revoked_at = m_record.now();
         m_record.write("operator: the store acknowledges r12, which takes the key away");
@@ -96,12 +86,7 @@
 private:
     void pause(milliseconds time) { std::this_thread::sleep_for(time); }
 
-    std::string next_id()
-    {
-        char text[24];
-        std::snprintf(text, sizeof(text), "%016x", ++m_requests);
-        return text;
-    }
+    std::string next_id() { return review::make_request_id(++m_requests); }
 
     bool sends_both_keys()
     {
@@ -158,8 +143,8 @@
     {
         std::size_t run = 0;
         for (const std::unique_ptr<review::endpoint_standin>& entry : m_endpoints) {
-            for (const std::string& id : entry->runs()) {
-                run += m_late.count(id);
+            for (const std::pair<const std::string, double>& ran : entry->runs()) {
+                run += m_late.count(ran.first);
             }
         }
         m_record.write("requests with the key that were sent later than the bound: " +
@@ -176,7 +161,7 @@
     std::vector<std::unique_ptr<review::endpoint_standin>> m_endpoints;
     std::vector<std::unique_ptr<review::instance_process>> m_instances;
     double m_revoked_at = 0;
-    unsigned m_requests = 0;
+    std::uint64_t m_requests = 0;
     std::set<std::string> m_late;
 };
 
