Upstream: Do not take a reset during the upload for the end of a response

Callers got a part of a response as a complete one: an endpoint responded to a long upload at once with a 200 without a length, sent a part of the body and reset the connection while the upload was still being written.

Cause: the kernel reports a reset to one operation on the socket only. While the upload blocks, the reactor runs the pending write before the pending read. The write gets ECONNRESET, and the read reports the end of the stream, which is what completes a response without length.

Fix: the end of the stream completes such a response only if no write has failed, or if the first one failed with EPIPE, which Linux reports if the end of the stream came before the reset. If the connection has failed and a write is still pending, its result is awaited, since two threads can deliver the two results in either order.

--- a/packages/caller/tests/outcome_test.cpp
+++ b/packages/caller/tests/outcome_test.cpp
@@ -48,20 +48,6 @@
     return table;
 }
 
-// Returns whether the response is complete according to Content-Length or, without it, to the last chunk.
-bool is_complete_response(const std::string& response)
-{
-    const std::size_t end = response.find("\r\n\r\n");
-    const std::size_t field = response.find("Content-Length: ");
-    if (end == std::string::npos) {
-        return false;
-    }
-    if (field == std::string::npos || field > end) {
-        return response.ends_with("0\r\n\r\n");
-    }
-    return response.size() == end + 4 + std::stoul(response.substr(field + 16));
-}
-
 } // namespace
 
 TEST_GROUP(outcome_table)
--- a/packages/caller/tests/proxy_fixture.cpp
+++ b/packages/caller/tests/proxy_fixture.cpp
@@ -174,6 +174,19 @@
     return response.size() < 12 ? 0 : std::stoi(response.substr(9, 3));
 }
 
+bool is_complete_response(const std::string& response)
+{
+    const std::size_t end = response.find("\r\n\r\n");
+    const std::size_t field = response.find("Content-Length: ");
+    if (end == std::string::npos) {
+        return false;
+    }
+    if (field == std::string::npos || field > end) {
+        return response.ends_with("0\r\n\r\n");
+    }
+    return response.size() == end + 4 + std::stoul(response.substr(field + 16));
+}
+
 bool contains(const std::string& text, const std::string& part)
 {
     return text.find(part) != std::string::npos;
--- a/packages/caller/tests/proxy_fixture.h
+++ b/packages/caller/tests/proxy_fixture.h
@@ -107,6 +107,9 @@
 // Returns the status code of a response, or 0 if the response is too short to have one.
 int parse_status(const std::string& response);
 
+// Returns whether the response is complete according to Content-Length or, without it, to the last chunk.
+bool is_complete_response(const std::string& response);
+
 bool contains(const std::string& text, const std::string& part);
 
 } // namespace quetzalspan::testing
--- a/packages/upstream/connection_pool.cpp
+++ b/packages/upstream/connection_pool.cpp
@@ -6,7 +6,10 @@
 
 #include <boost/asio/buffer.hpp>
 
+#include <poll.h>
+
 #include <algorithm>
+#include <cerrno>
 
 namespace quetzalspan::upstream
 {
@@ -44,6 +47,20 @@
     return error ? idle_state::closed_by_peer : idle_state::has_unread_bytes;
 }
 
+bool connection::has_failed()
+{
+    if (!m_socket.is_open()) {
+        return true;
+    }
+    // poll() reports POLLHUP when both directions have ended, and this side never ends its own.
+    pollfd state{m_socket.native_handle(), 0, 0};
+    int count = 0;
+    do {
+        count = ::poll(&state, 1, 0);
+    } while (count < 0 && errno == EINTR);
+    return count != 0;
+}
+
 connection_pool::connection_pool(const asio::any_io_executor& executor, connection_pool_options options)
     : m_executor(executor), m_options(options)
 {
--- a/packages/upstream/connection_pool.h
+++ b/packages/upstream/connection_pool.h
@@ -64,6 +64,10 @@
 
     idle_state check_idle();
 
+    // Returns whether the connection has failed, for example by a reset, or was closed on this side. That the
+    // peer has stopped sending is no failure. Leaves the error of the socket to the next read or write.
+    bool has_failed();
+
 private:
     std::uint64_t m_number;
     core::instant m_opened_at;
--- a/packages/upstream/forwarder.cpp
+++ b/packages/upstream/forwarder.cpp
@@ -146,8 +146,14 @@
 asio::awaitable<std::optional<forward_failure>> forwarder::write(const write_buffers& buffers)
 {
     boost::system::error_code error;
+    m_is_write_pending = true;
     const std::size_t written = co_await asio::async_write(m_connection->socket(), buffers,
                                                            asio::redirect_error(asio::use_awaitable, error));
+    m_is_write_pending = false;
+    m_write_error = m_write_error ? m_write_error : error;
+    if (m_write_end) {
+        m_write_end->cancel();
+    }
     m_has_written = m_has_written || written > 0;
     if (error || !m_is_usable) {
         m_is_usable = false;
@@ -186,12 +192,33 @@
     co_return forward_failure::malformed_response;
 }
 
+asio::awaitable<bool> forwarder::is_stream_ended_by_upstream()
+{
+    // The write may have got the error already although its coroutine has not been resumed yet.
+    if (m_is_write_pending && m_connection->has_failed()) {
+        m_write_end.emplace(m_connection->socket().get_executor(), core::instant::max());
+        while (m_is_write_pending) {
+            boost::system::error_code ignored;
+            co_await m_write_end->async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+        }
+    }
+    // Linux reports a reset that follows the end of the stream as EPIPE, and any other failure of a
+    // connection with another error.
+    co_return !m_write_error || m_write_error == asio::error::broken_pipe;
+}
+
 asio::awaitable<read_result> forwarder::read_body(char* data, std::size_t size)
 {
     if (m_is_response_complete) {
         co_return read_result{read_status::complete, {}, 0, true};
     }
-    const read_result part = co_await m_connection->reader().read_body(m_connection->socket(), data, size);
+    read_result part = co_await m_connection->reader().read_body(m_connection->socket(), data, size);
+    const bool is_ended_by_stream =
+        part.is_end && part.status == read_status::complete && response().need_eof();
+    if (is_ended_by_stream) {
+        const bool is_whole = co_await is_stream_ended_by_upstream();
+        part.status = is_whole ? read_status::complete : read_status::interrupted;
+    }
     m_is_response_complete = part.is_end && part.status == read_status::complete;
     if (part.status != read_status::complete) {
         m_is_usable = false;
--- a/packages/upstream/forwarder.h
+++ b/packages/upstream/forwarder.h
@@ -10,6 +10,7 @@
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/buffer.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/container/static_vector.hpp>
 
 #include <functional>
@@ -39,7 +40,8 @@
     // The bytes received are not an acceptable response header, the response has status 101, or too many
     // interim responses preceded it.
     malformed_response,
-    // The response header was received, and the connection failed before the body was complete.
+    // The response header was received, and the connection failed before the body was complete. Without a
+    // length or chunks, only an orderly end of the stream completes the body.
     body_truncated,
     // The exchange was cancelled.
     cancelled,
@@ -135,6 +137,10 @@
     void abort_unanswered();
     // Returns the failure of a step in which the connection failed before the response header was complete.
     forward_failure determine_failure() const;
+    // Returns whether the end of the stream that a read has reported was sent by the upstream. The socket
+    // reports a reset to one operation only: if that is the write of the request, reads report the end of the
+    // stream as well.
+    boost::asio::awaitable<bool> is_stream_ended_by_upstream();
 
     connection_pool& m_pool;
     std::shared_ptr<socket_deadline> m_deadline;
@@ -146,6 +152,11 @@
     bool m_is_usable = true;
     bool m_is_cancelled = false;
     bool m_is_response_complete = false;
+    bool m_is_write_pending = false;
+    // The error of the write that failed first.
+    boost::system::error_code m_write_error;
+    // Set while the end of the pending write is awaited, which cancels the timer.
+    std::optional<boost::asio::steady_timer> m_write_end;
 };
 
 } // namespace quetzalspan::upstream
