--- a/packages/caller/tests/checked_response_test.cpp
+++ b/packages/caller/tests/checked_response_test.cpp
@@ -24,11 +24,9 @@
     void start()
     {
         proxy.options.response_buffer_bytes = 4096;
-        proxy.options.profile.signature_field = "X-Signature";
+        proxy.require_signature();
         proxy.options.profile.expected_endpoint_field = "X-Expected";
         proxy.options.profile.workspace_field = "X-Workspace";
-        proxy.options.profile.keeps_request_id = true;
-        proxy.options.profile.is_request_id_echoed = true;
         proxy.options.profile.does_503_mean_not_run = true;
         proxy.hooks.route_request = [this](const caller::request_summary&,
                                            core::instant) -> caller::admission_result {
--- a/packages/caller/tests/early_response_test.cpp
+++ b/packages/caller/tests/early_response_test.cpp
@@ -60,23 +60,6 @@
 {
     proxy_fixture proxy;
     std::unique_ptr<tests::byte_server> upstream;
-    std::atomic<std::uint16_t> upstream_port{0};
-
-    void start()
-    {
-        proxy.options.profile.signature_field = "X-Signature";
-        proxy.options.profile.keeps_request_id = true;
-        proxy.options.profile.is_request_id_echoed = true;
-        proxy.hooks.acquire_endpoint =
-            [this](const caller::request_summary&, const caller::admission&, const std::vector<std::string>&,
-                   caller::wait_context&) -> asio::awaitable<caller::lease_result> {
-            ++proxy.open_leases;
-            co_return caller::endpoint_lease::create(
-                "first", "127.0.0.1", upstream_port,
-                [this](const caller::attempt_result&) { --proxy.open_leases; });
-        };
-        proxy.start();
-    }
 
     // Starts an upstream that sends the text, waits until the upload blocks, and ends the connection.
     void start_upstream(const std::string& text, const tests::byte_server::handler& end)
@@ -87,7 +70,7 @@
             tests::wait_until_peer_blocks(socket);
             end(socket);
         });
-        upstream_port = upstream->port();
+        proxy.upstream_port = upstream->port();
     }
 
     void teardown() override
@@ -99,7 +82,8 @@
     void exchange_each(const std::vector<early_response>& responses, const tests::byte_server::handler& end,
                        bool is_complete)
     {
-        start();
+        proxy.require_signature();
+        proxy.start();
         for (const early_response& response : responses) {
             start_upstream(response.header + std::string(response.body_bytes, 'b'), end);
             raw_caller caller(proxy.server->port());
--- a/packages/caller/tests/proxy_fixture.cpp
+++ b/packages/caller/tests/proxy_fixture.cpp
@@ -99,8 +99,9 @@
         ++open_leases;
         // Attempts alternate between the upstreams.
         const bool is_first = tried.size() % 2 == 0;
+        const std::uint16_t scripted_port = is_first ? first->port() : second->port();
         co_return caller::endpoint_lease::create(is_first ? "first" : "second", "127.0.0.1",
-                                                 is_first ? first->port() : second->port(),
+                                                 upstream_port == 0 ? scripted_port : upstream_port.load(),
                                                  [this](const caller::attempt_result&) { --open_leases; });
     };
     hooks.on_finished = [this](const caller::request_record& record) {
@@ -137,6 +138,13 @@
     m_threads.emplace_back([this] { upstream_context.run(); });
 }
 
+void proxy_fixture::require_signature()
+{
+    options.profile.signature_field = "X-Signature";
+    options.profile.keeps_request_id = true;
+    options.profile.is_request_id_echoed = true;
+}
+
 std::string proxy_fixture::exchange(const std::string& text)
 {
     raw_caller caller(server->port());
--- a/packages/caller/tests/proxy_fixture.h
+++ b/packages/caller/tests/proxy_fixture.h
@@ -65,6 +65,10 @@
     // Starts the server with the options and hooks below.
     void start();
 
+    // Requires responses to have the signature and the identifier of the request. The caller chooses the
+    // identifier.
+    void require_signature();
+
     // Sends one request on a new connection and returns the response.
     std::string exchange(const std::string& text);
 
@@ -86,6 +90,8 @@
     std::shared_ptr<scripted_upstream> second;
     std::shared_ptr<caller::proxy_server> server;
     std::shared_ptr<upstream::connection_pool> pool;
+    // If it is not 0, all attempts go to the upstream at this port instead of the scripted ones.
+    std::atomic<std::uint16_t> upstream_port{0};
     // Leases created minus leases released. It differs from zero after all requests have ended if a lease was
     // lost or released twice.
     std::atomic<int> open_leases{0};
--- a/tests/support/byte_server.cpp
+++ b/tests/support/byte_server.cpp
@@ -5,7 +5,6 @@
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/read_until.hpp>
 
-#include <array>
 #include <string>
 
 namespace quetzalspan::tests
@@ -64,13 +63,4 @@
     }
 }
 
-void read_to_end(tcp::socket& socket)
-{
-    std::array<char, 64 * 1024> discarded{};
-    boost::system::error_code error;
-    while (!error) {
-        socket.read_some(asio::buffer(discarded), error);
-    }
-}
-
 } // namespace quetzalspan::tests
--- a/tests/support/byte_server.h
+++ b/tests/support/byte_server.h
@@ -46,7 +46,4 @@
 // full.
 void wait_until_peer_blocks(boost::asio::ip::tcp::socket& socket);
 
-// Reads and discards what the peer sends until it closes the connection.
-void read_to_end(boost::asio::ip::tcp::socket& socket);
-
 } // namespace quetzalspan::tests
