Caller: Do not relay trailer fields as header fields

If an endpoint sent fields after the last chunk, callers got them as fields of the header: a second signature, a Content-Encoding for a body that has none, or a cookie. The checks of the response had seen the header without them.

Cause: Boost.Beast appends trailer fields to the fields that the parser holds. A response that is received before it is relayed had its header taken from the parser after its body. http::client, which reads the responses of the store, of other instances and of probes, did the same.

Fix: both take the header before they read the body. Trailer fields are dropped, as they were already for bodies above the buffer limit.

--- a/packages/caller/request_exchange.h
+++ b/packages/caller/request_exchange.h
@@ -69,13 +69,15 @@
                                                                       attempt_result& result);
     // Receives a response of up to response_buffer_bytes before any of it is relayed, so that an incomplete
     // response or a server error can still be retried.
-    boost::asio::awaitable<std::optional<rejection>> receive_whole_response(upstream::forwarder& exchange,
-                                                                            const attempt_result& result);
+    boost::asio::awaitable<std::optional<rejection>>
+    receive_whole_response(upstream::forwarder& exchange, boost::beast::http::response_header<> header,
+                           const attempt_result& result);
     // Reads and discards the body of a response. Returns whether its end was reached within the size limit.
     boost::asio::awaitable<bool> discard_body(upstream::forwarder& exchange);
     // Relays the response to the caller, beginning with the part of its body that has been received already.
-    boost::asio::awaitable<std::optional<rejection>> relay_response(upstream::forwarder& exchange,
-                                                                    const std::vector<char>& received);
+    boost::asio::awaitable<std::optional<rejection>>
+    relay_response(upstream::forwarder& exchange, boost::beast::http::response_header<> header,
+                   const std::vector<char>& received);
     boost::asio::awaitable<std::optional<rejection>>
     relay_body(upstream::forwarder& exchange, const std::vector<char>& received, bool is_chunked);
 
--- a/packages/caller/request_exchange_response.cpp
+++ b/packages/caller/request_exchange_response.cpp
@@ -80,11 +80,14 @@
             co_return failure_for(*read_failure);
         }
     }
+    // The header is taken before the body is read: the parser appends the trailer fields of a chunked body to
+    // the fields that it holds.
+    beast::http::response_header<> header = std::move(exchange.response().get().base());
     if (m_context.options.response_buffer_bytes == 0) {
         m_has_response = true;
-        co_return co_await relay_response(exchange, {});
+        co_return co_await relay_response(exchange, std::move(header), {});
     }
-    co_return co_await receive_whole_response(exchange, result);
+    co_return co_await receive_whole_response(exchange, std::move(header), result);
 }
 
 failure request_exchange::failure_for(dispatch::response_kind kind)
@@ -121,7 +124,8 @@
 }
 
 asio::awaitable<std::optional<rejection>>
-request_exchange::receive_whole_response(upstream::forwarder& exchange, const attempt_result& result)
+request_exchange::receive_whole_response(upstream::forwarder& exchange, beast::http::response_header<> header,
+                                         const attempt_result& result)
 {
     std::vector<char> body;
     bool is_end = exchange.response().is_done();
@@ -144,13 +148,13 @@
         co_return rejection{failure::upstream_error};
     }
     m_has_response = true;
-    co_return co_await relay_response(exchange, body);
+    co_return co_await relay_response(exchange, std::move(header), body);
 }
 
-asio::awaitable<std::optional<rejection>> request_exchange::relay_response(upstream::forwarder& exchange,
-                                                                           const std::vector<char>& received)
+asio::awaitable<std::optional<rejection>>
+request_exchange::relay_response(upstream::forwarder& exchange, beast::http::response_header<> header,
+                                 const std::vector<char>& received)
 {
-    beast::http::response_header<> header = std::move(exchange.response().get().base());
     const bool has_length = exchange.response().content_length().has_value();
     const bool has_body = !exchange.response().is_done();
     const bool is_fully_received = m_context.options.response_buffer_bytes > 0 && !has_body;
--- a/packages/caller/tests/malformed_response_test.cpp
+++ b/packages/caller/tests/malformed_response_test.cpp
@@ -111,3 +111,18 @@
         CHECK_FALSE_TEXT(contains(response, "X-Signature"), sent.name);
     }
 }
+
+// Guards against relaying the fields after the last chunk as header fields: the caller would get a signature,
+// a content coding or a cookie that the checked header does not have.
+TEST(malformed_response, trailer_fields_do_not_become_header_fields)
+{
+    const std::string trailer = "X-Signature: other\r\nContent-Encoding: gzip\r\nSet-Cookie: a=b\r\n";
+    const std::string response = exchange(ok_line + identity + "Transfer-Encoding: chunked\r\n\r\n" +
+                                          "4\r\nbody\r\n0\r\n" + trailer + "\r\n");
+    LONGS_EQUAL(200, parse_status(response));
+    CHECK(response.ends_with("\r\n\r\nbody"));
+    CHECK(contains(response, "X-Signature: s\r\n"));
+    CHECK_FALSE(contains(response, "X-Signature: other"));
+    CHECK_FALSE(contains(response, "Content-Encoding"));
+    CHECK_FALSE(contains(response, "Set-Cookie"));
+}
--- a/packages/http/client.cpp
+++ b/packages/http/client.cpp
@@ -43,7 +43,8 @@
     return result;
 }
 
-response to_response(beast::http::response<beast::http::string_body>&& message)
+// Returns the response without its body.
+response to_response(const beast::http::response_header<>& message)
 {
     response result;
     result.status = message.result_int();
@@ -51,7 +52,6 @@
     for (const beast::http::fields::value_type& field : message) {
         result.headers.push_back({std::string(field.name_string()), std::string(field.value())});
     }
-    result.body = std::move(message.body());
     return result;
 }
 
@@ -143,6 +143,8 @@
     if (error) {
         throw to_transport_error(error);
     }
+    // The fields are copied before the body is read, because the parser appends the trailer fields to them.
+    response result = to_response(parser.get().base());
     stream->expires_at(opened_at + timeouts.whole);
     co_await beast::http::async_read(*stream, buffer, parser,
                                      asio::redirect_error(asio::use_awaitable, error));
@@ -152,7 +154,8 @@
     if (parser.get().keep_alive() && buffer.size() == 0) {
         put_idle(std::move(stream));
     }
-    co_return to_response(parser.release());
+    result.body = std::move(parser.get().body());
+    co_return result;
 }
 
 } // namespace quetzalspan::http
