Dispatch: Relay the signature if Connection names it

An endpoint that named its signature field in Connection made the instance relay a success without the signature, which callers do not accept: the response was verified, and its signature then removed with the fields that apply to a single connection.

Fix: prepare_caller_response() restores the signature, as it does with Content-Length. An end-to-end field must not be named in Connection (RFC 9110, 7.6.1), so it is no field of the connection.

Evidence: header_rules.a_signature_named_in_connection_is_relayed fails on the former code.

--- a/packages/dispatch/header_rules.cpp
+++ b/packages/dispatch/header_rules.cpp
@@ -385,13 +385,18 @@
 
 void prepare_caller_response(fields_type& fields, std::string_view request_id, const message_profile& profile)
 {
-    // Content-Length is restored if the Connection field named it: it frames the body.
+    // Content-Length and the signature are restored if the Connection field named them: one frames the body,
+    // and without the other the caller does not accept the response.
     const std::string length(fields[beast::http::field::content_length]);
+    const std::string signature(fields[profile.signature_field]);
     remove_hop_by_hop_fields(fields);
     remove_control_fields(fields, profile.control_prefix);
     if (!length.empty()) {
         fields.set(beast::http::field::content_length, length);
     }
+    if (!signature.empty() && fields.count(profile.signature_field) == 0) {
+        fields.set(profile.signature_field, signature);
+    }
     for (const std::string* profile_field : {&profile.leaving_field, &profile.rate_limit_field}) {
         if (!profile_field->empty()) {
             fields.erase(*profile_field);
--- a/packages/dispatch/header_rules.h
+++ b/packages/dispatch/header_rules.h
@@ -58,7 +58,7 @@
 
 // Prepares the fields of an upstream's response for the caller: removes hop-by-hop fields and sets the
 // request identifier. Control fields are removed, because they mark responses that quetzalspan generated.
-// Content-Length remains; Transfer-Encoding is removed.
+// Content-Length and the signature remain; Transfer-Encoding is removed.
 void prepare_caller_response(boost::beast::http::fields& fields, std::string_view request_id,
                              const message_profile& profile = default_message_profile());
 
--- a/packages/dispatch/tests/header_and_retry_test.cpp
+++ b/packages/dispatch/tests/header_and_retry_test.cpp
@@ -162,6 +162,21 @@
     LONGS_EQUAL(2, header.count("Set-Cookie"));
 }
 
+// Guards against a success response without its signature, because the upstream names the signature field in
+// Connection.
+TEST(header_rules, a_signature_named_in_connection_is_relayed)
+{
+    dispatch::message_profile profile;
+    profile.signature_field = "Upstream-Signature";
+    fields header;
+    header.insert("Connection", "upstream-signature, X-A");
+    header.insert("Upstream-Signature", "s");
+    header.insert("X-A", "1");
+    dispatch::prepare_caller_response(header, "id-1", profile);
+    CHECK(header["Upstream-Signature"] == "s");
+    LONGS_EQUAL(0, header.count("X-A"));
+}
+
 // Guards against deadlines beyond the limit: fencing waits rely on no request running longer than the limit.
 TEST(header_rules, deadlines_are_clamped_to_the_limit)
 {
