Dispatch: Do not take a response with two request identifiers for the answer

A response that carried the identifier of the request and a second one was relayed, and the second one removed, so that the caller could not see that the response named another request as well.

Cause: only the first of the fields was compared. Now such a response counts as unverified, like one with two signatures: the caller gets 502 and the connection is closed.

Evidence: malformed_response.a_response_with_two_request_identifiers_is_not_relayed fails on the former code with 200.

--- a/packages/caller/tests/malformed_response_test.cpp
+++ b/packages/caller/tests/malformed_response_test.cpp
@@ -126,3 +126,14 @@
     CHECK_FALSE(contains(response, "Content-Encoding"));
     CHECK_FALSE(contains(response, "Set-Cookie"));
 }
+
+// Guards against relaying a response that names a second request: it may belong to that one.
+TEST(malformed_response, a_response_with_two_request_identifiers_is_not_relayed)
+{
+    for (const char* status_line : {"HTTP/1.1 200 OK\r\n", "HTTP/1.1 500 Failed\r\n"}) {
+        const std::string response =
+            exchange(status_line + identity + "Quetzal-Request-Id: other\r\n" + framed_body);
+        LONGS_EQUAL_TEXT(502, parse_status(response), status_line);
+        CHECK_TEXT(contains(response, "Quetzal-Reason: response-unverified"), status_line);
+    }
+}
--- a/packages/dispatch/response_check.cpp
+++ b/packages/dispatch/response_check.cpp
@@ -40,6 +40,9 @@
 {
     bool has_matching_id = false;
     if (profile.is_request_id_echoed) {
+        if (fields.count(profile.request_id_field) > 1) {
+            return response_kind::unverified;
+        }
         const boost::beast::string_view echoed = fields[profile.request_id_field];
         has_matching_id = std::string_view(echoed.data(), echoed.size()) == request_id;
         if (!echoed.empty() && !has_matching_id) {
--- a/packages/dispatch/response_check.h
+++ b/packages/dispatch/response_check.h
@@ -26,7 +26,7 @@
     // not state that it did not run the request.
     unstated_refusal,
     // A 2xx response without the signature, or a 2xx response or refusal without the echoed request
-    // identifier, that the profile requires.
+    // identifier, that the profile requires. Also any response with several request identifiers.
     unverified,
 };
 
