Caller: Reset the connection of a cut response without length

A caller that speaks HTTP/1.0 took a part of a long response for the whole if the instance stopped or was killed while it relayed the response: the connection ended in an orderly way, which is what delimits a body without length.

Cause: only a failed relay reset the connection. A stop closed it, and the kernel closes the connections of a process that ends.

Fix: from the first byte of such a response to its last, every close of the connection is a reset (SO_LINGER with time 0), also the one by the kernel.

Evidence: endless_response.a_stop_resets_the_connection_of_a_response_without_length fails on the former code in 5 of 5 runs. Whole responses still end in an orderly way (5 of 5).

--- a/packages/caller/caller_stream.cpp
+++ b/packages/caller/caller_stream.cpp
@@ -185,11 +185,16 @@
 
 void caller_stream::reset_connection()
 {
-    boost::system::error_code ignored;
-    m_socket.set_option(asio::socket_base::linger(true, 0), ignored);
+    set_reset_on_close(true);
     close();
 }
 
+void caller_stream::set_reset_on_close(bool is_reset)
+{
+    boost::system::error_code ignored;
+    m_socket.set_option(asio::socket_base::linger(is_reset, 0), ignored);
+}
+
 void caller_stream::close_and_notify()
 {
     const std::function<void()> on_disconnect = std::exchange(m_on_disconnect, nullptr);
--- a/packages/caller/caller_stream.h
+++ b/packages/caller/caller_stream.h
@@ -66,6 +66,9 @@
     // Closes with a TCP reset, so that the caller cannot take a truncated response for a complete one.
     void reset_connection();
 
+    // Makes every close a TCP reset, also the one at the end of the process.
+    void set_reset_on_close(bool is_reset);
+
     void close();
 
     // Closes the connection and calls the function given to watch_disconnect(), if it is still set.
--- a/packages/caller/request_exchange_response.cpp
+++ b/packages/caller/request_exchange_response.cpp
@@ -183,7 +183,14 @@
     m_response_status = header.result_int();
     m_memory.header_text.clear();
     append_header_text(m_memory.header_text, header);
+    // Until the body is complete, an orderly end of the connection would delimit it.
+    if (ends_by_close) {
+        m_stream.set_reset_on_close(true);
+    }
     const std::optional<rejection> failed = co_await relay_body(exchange, received, is_chunked);
+    if (ends_by_close && !failed) {
+        m_stream.set_reset_on_close(false);
+    }
     co_return failed;
 }
 
--- a/packages/caller/tests/endless_response_test.cpp
+++ b/packages/caller/tests/endless_response_test.cpp
@@ -65,3 +65,18 @@
     }
     LONGS_EQUAL(0, fixture.open_leases.load());
 }
+
+// Guards against a cut response that a caller takes for the whole because the connection ends in an orderly
+// way: a caller that speaks HTTP/1.0 gets a body without length, whose end is the end of the connection.
+TEST(endless_response, a_stop_resets_the_connection_of_a_response_without_length)
+{
+    fixture.start();
+    fixture.first->set_script({upstream_step::endless_unframed_body});
+    raw_caller caller(fixture.server->port());
+    caller.send("GET /orders HTTP/1.0\r\nHost: quay\r\n\r\n");
+    const std::string begin = caller.receive_response();
+    LONGS_EQUAL(200, parse_status(begin));
+    fixture.server->stop();
+    caller.receive_all();
+    CHECK(caller.was_reset());
+}
