Http: Reject responses with an invalid status

http::client, which reads the responses of the store, of other instances, of probes and for quetzalctl, returned a response with status 000 or 099 as an answer, and 101 although nothing asks for a switch of protocols. A store client took it for a rejection, so that a write which the store may have executed counted as not executed, and quetzalctl said that nothing was written.

Cause: only the reader of endpoints checked the status. Both now use http::classify_status(); the client reports an invalid status as an interrupted request, whose outcome is unknown.

Evidence: client_response.a_malformed_response_is_an_interrupted_request fails on the former code at status 000. Its other 13 forms, with names and values that are no token or hold control bytes, two framings and cut bodies, were rejected before, and so was a body without length that ends with a reset; their tests stay.

--- a/packages/http/client.cpp
+++ b/packages/http/client.cpp
@@ -3,6 +3,8 @@
 
 #include "http/client.h"
 
+#include "http/status.h"
+
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/strand.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -143,6 +145,9 @@
     if (error) {
         throw to_transport_error(error);
     }
+    if (classify_status(parser.get().result_int()) == status_class::invalid) {
+        throw transport_error(transport_failure::interrupted, "the status of the response is invalid");
+    }
     // The fields are copied before the body is read, because the parser appends the trailer fields to them.
     response result = to_response(parser.get().base());
     stream->expires_at(opened_at + timeouts.whole);
--- /dev/null
+++ b/packages/http/status.h
@@ -0,0 +1,29 @@
+// Classes of response statuses, for the code that reads responses.
+
+#pragma once
+
+namespace quetzalspan::http
+{
+
+enum class status_class {
+    // Not a status of HTTP, or 101, which would switch the connection to another protocol; no request asks
+    // for
+    // that.
+    invalid,
+    // An interim response (1xx), which the final one follows.
+    interim,
+    final_response,
+};
+
+constexpr status_class classify_status(unsigned status)
+{
+    constexpr unsigned first_interim = 100;
+    constexpr unsigned switching_protocols = 101;
+    constexpr unsigned first_final = 200;
+    if (status < first_interim || status == switching_protocols) {
+        return status_class::invalid;
+    }
+    return status < first_final ? status_class::interim : status_class::final_response;
+}
+
+} // namespace quetzalspan::http
--- a/packages/http/tests/client_response_test.cpp
+++ b/packages/http/tests/client_response_test.cpp
@@ -11,8 +11,47 @@
 #include <CppUTest/TestHarness.h>
 
 using namespace quetzalspan;
+using namespace std::string_literals;
 namespace asio = boost::asio;
 
+namespace
+{
+
+struct malformed_response {
+    const char* name;
+    std::string text;
+};
+
+std::string with_field(const std::string& line)
+{
+    return "HTTP/1.1 200 OK\r\n" + line + "\r\nContent-Length: 2\r\n\r\n{}";
+}
+
+const std::vector<malformed_response>& malformed_responses()
+{
+    static const std::vector<malformed_response> table{
+        {"status 000", "HTTP/1.1 000 OK\r\nContent-Length: 2\r\n\r\n{}"},
+        {"status 099", "HTTP/1.1 099 OK\r\nContent-Length: 2\r\n\r\n{}"},
+        {"status of two digits", "HTTP/1.1 20 OK\r\nContent-Length: 2\r\n\r\n{}"},
+        {"status of four digits", "HTTP/1.1 2000 OK\r\nContent-Length: 2\r\n\r\n{}"},
+        {"protocol switch", "HTTP/1.1 101 Switching Protocols\r\n\r\n"},
+        {"blank in a name", with_field("Bad Name: x")},
+        {"blank before the colon", with_field("Name : x")},
+        {"tab in a name", with_field("Na\tme: x")},
+        {"control byte in a name", with_field("Na\x01me: x")},
+        {"zero byte in a name", with_field("Na\0me: x"s)},
+        {"empty name", with_field(": x")},
+        {"no colon", with_field("Name")},
+        {"control byte in a value", with_field("Name: \x01")},
+        {"length and coding", with_field("Transfer-Encoding: chunked")},
+        {"part of the body", "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\n{}"},
+        {"part of a chunked body", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n"},
+    };
+    return table;
+}
+
+} // namespace
+
 TEST_GROUP(client_response)
 {
     asio::io_context context;
@@ -51,8 +90,42 @@
         }
         return result.get();
     }
+
+    // Sends a request and returns its failure, or no value if it gets a response.
+    std::optional<http::transport_failure> find_failure()
+    {
+        try {
+            send();
+        } catch (const http::transport_error& error) {
+            return error.kind();
+        }
+        return std::nullopt;
+    }
 };
 
+// Guards against a response that is not valid HTTP and is taken for an answer: a writer then believes that
+// its request was rejected, while it may have been executed.
+TEST(client_response, a_malformed_response_is_an_interrupted_request)
+{
+    start(with_field("Name: x"));
+    LONGS_EQUAL(200, send().status);
+    for (const malformed_response& sent : malformed_responses()) {
+        start(sent.text);
+        CHECK_TEXT(find_failure() == http::transport_failure::interrupted, sent.name);
+    }
+}
+
+// Guards against a part of a body without length that is taken for the whole body after a reset.
+TEST(client_response, a_reset_completes_no_response_without_length)
+{
+    start_handler([](asio::ip::tcp::socket& socket) {
+        boost::system::error_code ignored;
+        asio::write(socket, asio::buffer("HTTP/1.1 200 OK\r\n\r\n{}"s), ignored);
+        tests::reset(socket);
+    });
+    CHECK(find_failure() == http::transport_failure::interrupted);
+}
+
 // Guards against taking the fields after the last chunk for header fields.
 TEST(client_response, trailer_fields_do_not_become_header_fields)
 {
--- a/packages/upstream/forwarder.cpp
+++ b/packages/upstream/forwarder.cpp
@@ -3,6 +3,7 @@
 #include "upstream/forwarder.h"
 
 #include "core/check.h"
+#include "http/status.h"
 
 #include <boost/asio/write.hpp>
 
@@ -176,14 +177,13 @@
             m_is_usable = false;
             co_return determine_failure();
         }
-        const unsigned status = response().get().result_int();
-        // Statuses below 100 are no statuses of HTTP; an interim one is from 100 to 199. Status 101 would
-        // switch the connection to another protocol; no request asks for that, since upgrades are rejected.
-        if (status < 100 || status == 101) {
+        switch (http::classify_status(response().get().result_int())) {
+        case http::status_class::invalid:
             m_is_usable = false;
             co_return forward_failure::malformed_response;
-        }
-        if (status >= 200) {
+        case http::status_class::interim:
+            break;
+        case http::status_class::final_response:
             m_is_response_complete = header.is_end;
             co_return std::nullopt;
         }
