Http: Skip interim responses

http::client took an interim response (1xx) for the answer to its request. The final response was then still on its way on a connection that counted as idle, and if it came after the check for unread bytes, the next request got it as its answer. This holds for calls to the store and to other instances, and for probes.

Cause: the parser of Boost.Beast ends a message with the header of an interim response, and the client returned it. Now the client reads on until the final response, as the forwarder does for endpoints, and gives up after as many interim responses.

Evidence: client_response.interim_responses_are_skipped and interim_responses_without_end_are_given_up fail on the former code: the first request got an empty body.

--- a/packages/http/client.cpp
+++ b/packages/http/client.cpp
@@ -107,6 +107,30 @@
     co_return stream;
 }
 
+asio::awaitable<void> client::read_final_header(beast::tcp_stream& stream, beast::flat_buffer& buffer,
+                                                std::optional<response_parser>& parser) const
+{
+    for (unsigned count = 0; count <= max_interim_responses; ++count) {
+        parser.emplace();
+        parser->body_limit(m_options.body_limit_bytes);
+        beast::error_code error;
+        co_await beast::http::async_read_header(stream, buffer, *parser,
+                                                asio::redirect_error(asio::use_awaitable, error));
+        if (error) {
+            throw to_transport_error(error);
+        }
+        switch (classify_status(parser->get().result_int())) {
+        case status_class::invalid:
+            throw transport_error(transport_failure::interrupted, "the status of the response is invalid");
+        case status_class::interim:
+            break;
+        case status_class::final_response:
+            co_return;
+        }
+    }
+    throw transport_error(transport_failure::interrupted, "too many interim responses");
+}
+
 asio::awaitable<response> client::send(request message, core::duration timeout)
 {
     co_return co_await send(std::move(message), response_timeouts{timeout, timeout});
@@ -138,28 +162,20 @@
         throw to_transport_error(error);
     }
     beast::flat_buffer buffer;
-    beast::http::response_parser<beast::http::string_body> parser;
-    parser.body_limit(m_options.body_limit_bytes);
-    co_await beast::http::async_read_header(*stream, buffer, parser,
-                                            asio::redirect_error(asio::use_awaitable, error));
-    if (error) {
-        throw to_transport_error(error);
-    }
-    if (classify_status(parser.get().result_int()) == status_class::invalid) {
-        throw transport_error(transport_failure::interrupted, "the status of the response is invalid");
-    }
+    std::optional<response_parser> parser;
+    co_await read_final_header(*stream, buffer, parser);
     // The fields are copied before the body is read, because the parser appends the trailer fields to them.
-    response result = to_response(parser.get().base());
+    response result = to_response(parser->get().base());
     stream->expires_at(opened_at + timeouts.whole);
-    co_await beast::http::async_read(*stream, buffer, parser,
+    co_await beast::http::async_read(*stream, buffer, *parser,
                                      asio::redirect_error(asio::use_awaitable, error));
     if (error) {
         throw to_transport_error(error);
     }
-    if (parser.get().keep_alive() && buffer.size() == 0) {
+    if (parser->get().keep_alive() && buffer.size() == 0) {
         put_idle(std::move(stream));
     }
-    result.body = std::move(parser.get().body());
+    result.body = std::move(parser->get().body());
     co_return result;
 }
 
--- a/packages/http/client.h
+++ b/packages/http/client.h
@@ -8,11 +8,15 @@
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
 
 #include <cstdint>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <stdexcept>
 #include <string>
 #include <vector>
@@ -91,6 +95,7 @@
 
 private:
     using stream_pointer = std::unique_ptr<boost::beast::tcp_stream>;
+    using response_parser = boost::beast::http::response_parser<boost::beast::http::string_body>;
 
     // Removes and returns an idle connection, or returns nullptr if there is none.
     stream_pointer take_idle();
@@ -98,6 +103,11 @@
     void put_idle(stream_pointer stream);
     // Opens a connection. Throws transport_error if that fails.
     boost::asio::awaitable<stream_pointer> connect(core::duration timeout);
+    // Reads the header of the final response into the parser and skips interim responses. Throws
+    // transport_error if there is no valid one.
+    boost::asio::awaitable<void> read_final_header(boost::beast::tcp_stream& stream,
+                                                   boost::beast::flat_buffer& buffer,
+                                                   std::optional<response_parser>& parser) const;
 
     boost::asio::any_io_executor m_executor;
     std::string m_host;
--- a/packages/http/status.h
+++ b/packages/http/status.h
@@ -5,6 +5,9 @@
 namespace quetzalspan::http
 {
 
+// A response that is preceded by more interim responses is treated as malformed.
+inline constexpr unsigned max_interim_responses = 8;
+
 enum class status_class {
     // Not a status of HTTP, or 101, which would switch the connection to another protocol; no request asks
     // for
--- a/packages/http/tests/client_response_test.cpp
+++ b/packages/http/tests/client_response_test.cpp
@@ -1,10 +1,12 @@
 // Tests of the client with servers whose responses are given as bytes.
 
 #include "http/client.h"
+#include "http/status.h"
 #include "tests/support/byte_server.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/read_until.hpp>
 #include <boost/asio/use_future.hpp>
 #include <boost/asio/write.hpp>
 
@@ -134,3 +136,33 @@
     STRCMP_EQUAL("body", response.body.c_str());
     CHECK_FALSE(http::find_header(response.headers, "X-Trailer").has_value());
 }
+
+// Guards against taking an interim response for the answer: the final response is then taken for the answer
+// to the next request on the connection.
+TEST(client_response, interim_responses_are_skipped)
+{
+    start_handler([](asio::ip::tcp::socket& socket) {
+        const std::string interim = "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n";
+        const std::string final = "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\n";
+        boost::system::error_code error;
+        asio::write(socket, asio::buffer(interim + interim), error);
+        std::this_thread::sleep_for(std::chrono::milliseconds(20));
+        asio::write(socket, asio::buffer(final + "one"), error);
+        std::string second_request;
+        asio::read_until(socket, asio::dynamic_buffer(second_request), "\r\n\r\n", error);
+        asio::write(socket, asio::buffer(interim + final + "two"), error);
+    });
+    STRCMP_EQUAL("one", send().body.c_str());
+    STRCMP_EQUAL("two", send().body.c_str());
+}
+
+// Guards against a request that waits for the final response behind interim ones without end.
+TEST(client_response, interim_responses_without_end_are_given_up)
+{
+    std::string text;
+    for (unsigned count = 0; count <= http::max_interim_responses; ++count) {
+        text += "HTTP/1.1 102 Processing\r\n\r\n";
+    }
+    start(text + "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}");
+    CHECK(find_failure() == http::transport_failure::interrupted);
+}
--- a/packages/upstream/forwarder.cpp
+++ b/packages/upstream/forwarder.cpp
@@ -12,14 +12,6 @@
 
 namespace asio = boost::asio;
 
-namespace
-{
-
-// A response that is preceded by more interim (1xx) responses is treated as malformed.
-constexpr unsigned max_interim_responses = 8;
-
-} // namespace
-
 dispatch::failure to_dispatch_failure(forward_failure cause)
 {
     switch (cause) {
@@ -166,7 +158,7 @@
 asio::awaitable<std::optional<forward_failure>> forwarder::read_header(bool is_response_to_head)
 {
     const std::function<void()> no_action;
-    for (unsigned count = 0; count <= max_interim_responses; ++count) {
+    for (unsigned count = 0; count <= http::max_interim_responses; ++count) {
         const read_result header = co_await m_connection->reader().read_header(
             m_connection->socket(), no_action, is_response_to_head);
         if (header.status == read_status::rejected) {
