Core: Take JSON that is nested too deeply for malformed

An endpoint whose load report was nested more deeply than 1,000 levels was never probed again: its health and load stayed as last reported. A status or burn report of one instance, or a configuration in the store, of this kind ended the quetzalctl command, so that `report` showed no instance and `apply` could not replace the configuration.

Cause: jsoncpp throws Json::Exception at its depth limit, where any other malformed text makes its parser return false. The exception of a probe ended the coroutine of its endpoint. codec::json_reader caught it; the readers that call jsoncpp themselves did not.

Fix: core::parse_json() parses for all of them and reports such a text as any other that is not JSON.

Evidence: upstream.probes_report_health_and_load, fleet_commands.report_sums_instances_and_lists_missing_ones, fleet_commands.wait_does_not_succeed_without_answers and write_commands.a_damaged_configuration_is_replaced_with_a_higher_revision get a text with 5,000 opening brackets.

--- a/packages/codec/json_reader.cpp
+++ b/packages/codec/json_reader.cpp
@@ -2,7 +2,7 @@
 
 #include "codec/json_reader.h"
 
-#include <memory>
+#include "core/json_text.h"
 
 namespace quetzalspan::codec
 {
@@ -24,23 +24,17 @@
 
 Json::Value json_reader::parse_object(std::string_view text)
 {
-    Json::Value root;
     Json::CharReaderBuilder builder;
     Json::CharReaderBuilder::strictMode(&builder.settings_);
     builder["stackLimit"] = max_depth;
-    const std::unique_ptr<Json::CharReader> parser(builder.newCharReader());
-    std::string errors;
-    try {
-        if (!parser->parse(text.data(), text.data() + text.size(), &root, &errors)) {
-            add_error("document", "is not JSON: " + errors);
-        } else if (!root.isObject()) {
-            add_error("document", "must be an object");
-        }
-    } catch (const Json::Exception& error) {
-        add_error("document", std::string("is not JSON: ") + error.what());
+    core::json_text parsed = core::parse_json(text, builder);
+    if (!parsed.value) {
+        add_error("document", "is not JSON: " + parsed.error);
+    } else if (!parsed.value->isObject()) {
+        add_error("document", "must be an object");
     }
     throw_if_errors();
-    return root;
+    return std::move(*parsed.value);
 }
 
 void json_reader::add_error(const std::string& path, const std::string& message)
--- a/packages/config/configuration_json.cpp
+++ b/packages/config/configuration_json.cpp
@@ -4,12 +4,12 @@
 #include "config/configuration_json.h"
 
 #include "core/findings.h"
+#include "core/json_text.h"
 
 #include <json/json.h>
 
 #include <functional>
 #include <limits>
-#include <memory>
 
 namespace quetzalspan::config
 {
@@ -395,15 +395,14 @@
 configuration configuration_from_json(std::string_view text, const std::string& source)
 {
     configuration_reader in(source);
-    Json::Value root;
     Json::CharReaderBuilder builder;
     Json::CharReaderBuilder::strictMode(&builder.settings_);
-    std::string parse_errors;
-    const std::unique_ptr<Json::CharReader> parser(builder.newCharReader());
-    if (!parser->parse(text.data(), text.data() + text.size(), &root, &parse_errors)) {
-        in.add_error("configuration", "is not JSON: " + parse_errors);
+    const core::json_text parsed = core::parse_json(text, builder);
+    if (!parsed.value) {
+        in.add_error("configuration", "is not JSON: " + parsed.error);
         throw core::findings_error(in.take_findings());
     }
+    const Json::Value& root = *parsed.value;
     configuration result;
     result.revision = in.count(root, "revision", "configuration");
     result.author = in.text(root, "author", "configuration");
--- a/packages/operator/configuration_writer.cpp
+++ b/packages/operator/configuration_writer.cpp
@@ -5,11 +5,11 @@
 
 #include "config/configuration_json.h"
 #include "config/validate.h"
+#include "core/json_text.h"
 
 #include <json/json.h>
 
 #include <algorithm>
-#include <memory>
 
 namespace quetzalspan::admin
 {
@@ -33,14 +33,8 @@
 // it. Returns 0 if the text has none.
 std::uint64_t revision_of_invalid_text(const std::string& text)
 {
-    Json::Value root;
-    std::string errors;
-    const std::unique_ptr<Json::CharReader> parser(Json::CharReaderBuilder().newCharReader());
-    if (!parser->parse(text.data(), text.data() + text.size(), &root, &errors) || !root.isObject() ||
-        !root["revision"].isUInt64()) {
-        return 0;
-    }
-    return root["revision"].asUInt64();
+    const std::optional<Json::Value> root = core::parse_json_object(text);
+    return root && (*root)["revision"].isUInt64() ? (*root)["revision"].asUInt64() : 0;
 }
 
 bool history_contains(const config::configuration& value, const std::string& nonce)
--- a/packages/operator/fleet_commands.cpp
+++ b/packages/operator/fleet_commands.cpp
@@ -4,13 +4,13 @@
 
 #include "burn/burn_report.h"
 #include "config/configuration_json.h"
+#include "core/json_text.h"
 #include "operator/instance_status.h"
 
 #include <absl/strings/str_format.h>
 #include <json/json.h>
 
 #include <map>
-#include <memory>
 #include <set>
 
 namespace quetzalspan::admin
@@ -266,10 +266,7 @@
         std::string reason = reply.error;
         if (reply.body) {
             try {
-                Json::Value body;
-                std::string errors;
-                const std::unique_ptr<Json::CharReader> parser(Json::CharReaderBuilder().newCharReader());
-                parser->parse(reply.body->data(), reply.body->data() + reply.body->size(), &body, &errors);
+                const Json::Value body = core::parse_json_object(*reply.body).value_or(Json::Value());
                 reports.push_back(burn::burn_report_from_json(body, reply.address.name));
                 continue;
             } catch (const core::findings_error&) {
--- a/packages/operator/instance_client.cpp
+++ b/packages/operator/instance_client.cpp
@@ -2,6 +2,7 @@
 
 #include "operator/instance_client.h"
 
+#include "core/json_text.h"
 #include "http/client.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -26,11 +27,8 @@
 
 std::optional<instance_address> find_address(const std::string& record)
 {
-    Json::Value root;
-    std::string errors;
-    const std::unique_ptr<Json::CharReader> parser(Json::CharReaderBuilder().newCharReader());
-    if (!parser->parse(record.data(), record.data() + record.size(), &root, &errors) || !root.isObject() ||
-        !root["id"].isString() || !root["host"].isString() || !root["admin_port"].isUInt()) {
+    const Json::Value root = core::parse_json_object(record).value_or(Json::Value());
+    if (!root["id"].isString() || !root["host"].isString() || !root["admin_port"].isUInt()) {
         return std::nullopt;
     }
     const unsigned port = root["admin_port"].asUInt();
--- a/packages/operator/instance_status.cpp
+++ b/packages/operator/instance_status.cpp
@@ -2,9 +2,9 @@
 
 #include "operator/instance_status.h"
 
-#include <json/json.h>
+#include "core/json_text.h"
 
-#include <memory>
+#include <json/json.h>
 
 namespace quetzalspan::admin
 {
@@ -36,13 +36,12 @@
 instance_status instance_status_from_json(std::string_view text, const std::string& source)
 {
     core::findings found;
-    Json::Value root;
-    std::string errors;
-    const std::unique_ptr<Json::CharReader> parser(Json::CharReaderBuilder().newCharReader());
-    if (!parser->parse(text.data(), text.data() + text.size(), &root, &errors) || !root.isObject()) {
+    const std::optional<Json::Value> parsed = core::parse_json_object(text);
+    if (!parsed) {
         found.add_error({source, 0, 0}, "the status is not a JSON object");
         throw core::findings_error(std::move(found));
     }
+    const Json::Value& root = *parsed;
     const auto read_text = [&](const char* name) {
         if (!root[name].isString()) {
             found.add_error({source, 0, 0}, std::string("status.") + name + ": must be a string");
--- a/packages/operator/store_connection.cpp
+++ b/packages/operator/store_connection.cpp
@@ -2,6 +2,8 @@
 
 #include "operator/store_connection.h"
 
+#include "core/json_text.h"
+
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/use_future.hpp>
 
@@ -22,14 +24,11 @@
 
 Json::Value parse_response(const http::response& response)
 {
-    Json::Value root;
-    std::string errors;
-    const std::unique_ptr<Json::CharReader> parser(Json::CharReaderBuilder().newCharReader());
-    if (!parser->parse(response.body.data(), response.body.data() + response.body.size(), &root, &errors) ||
-        !root.isObject()) {
+    std::optional<Json::Value> root = core::parse_json_object(response.body);
+    if (!root) {
         throw store_error("the store's response is not a JSON object");
     }
-    return root;
+    return std::move(*root);
 }
 
 stored_entry read_entry(const Json::Value& value)
--- a/packages/operator/tests/fleet_commands_test.cpp
+++ b/packages/operator/tests/fleet_commands_test.cpp
@@ -57,8 +57,10 @@
     const admin::command_environment environment = fleet.hooks();
     CHECK_TRUE(exit_code::timeout == admin::run_wait(environment, 5, std::chrono::seconds(1)).code);
     fleet.add_instance("a.1", 5);
-    fleet.bodies["a.1"] = "{\"revision\": 5}";
-    CHECK_TRUE(exit_code::timeout == admin::run_wait(environment, 5, std::chrono::seconds(1)).code);
+    for (const std::string& malformed : {std::string("{\"revision\": 5}"), std::string(5000, '[')}) {
+        fleet.bodies["a.1"] = malformed;
+        CHECK_TRUE(exit_code::timeout == admin::run_wait(environment, 5, std::chrono::seconds(1)).code);
+    }
     fleet.is_member_list_down = true;
     CHECK_TRUE(exit_code::unreachable == admin::run_wait(environment, 5, std::chrono::seconds(1)).code);
     CHECK_TRUE(exit_code::usage == admin::run_wait(environment, std::nullopt, std::chrono::seconds(1)).code);
@@ -97,12 +99,14 @@
         fleet.add_instance(name, 1);
         fleet.bodies[name] = body;
     }
-    fleet.bodies["c.1"] = "not JSON";
-    const admin::command_result result = admin::run_report(environment);
-    CHECK_TRUE(exit_code::success == result.code);
-    LONGS_EQUAL(180, result.value["rows"][0]["window_5m"]["good"].asInt());
-    DOUBLES_EQUAL(10, result.value["rows"][0]["window_1h"]["burn_rate"].asDouble(), 1e-9);
-    STRCMP_EQUAL("c.1", result.value["missing"][0].asCString());
+    for (const std::string& malformed : {std::string("not JSON"), std::string(5000, '[')}) {
+        fleet.bodies["c.1"] = malformed;
+        const admin::command_result result = admin::run_report(environment);
+        CHECK_TRUE(exit_code::success == result.code);
+        LONGS_EQUAL(180, result.value["rows"][0]["window_5m"]["good"].asInt());
+        DOUBLES_EQUAL(10, result.value["rows"][0]["window_1h"]["burn_rate"].asDouble(), 1e-9);
+        STRCMP_EQUAL("c.1", result.value["missing"][0].asCString());
+    }
     fleet.bodies.clear();
     CHECK_TRUE(exit_code::unreachable == admin::run_report(environment).code);
 }
--- a/packages/operator/tests/write_commands_test.cpp
+++ b/packages/operator/tests/write_commands_test.cpp
@@ -294,4 +294,6 @@
     fleet.store.put("{\"revision\": 12, \"registry\": 3}");
     CHECK_TRUE(exit_code::success == fleet.apply().code);
     LONGS_EQUAL(13, fleet.stored().revision);
+    fleet.store.put(std::string(5000, '['));
+    CHECK_TRUE(exit_code::success == fleet.apply().code);
 }
--- a/packages/upstream/probe.cpp
+++ b/packages/upstream/probe.cpp
@@ -2,11 +2,10 @@
 
 #include "upstream/probe.h"
 
+#include "core/json_text.h"
 #include "core/log_event.h"
 #include "core/stable_hash.h"
 
-#include <json/reader.h>
-
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/post.hpp>
@@ -14,7 +13,6 @@
 #include <boost/asio/use_awaitable.hpp>
 
 #include <cmath>
-#include <sstream>
 
 namespace quetzalspan::upstream
 {
@@ -29,13 +27,7 @@
 // Returns a null value if the text is not a JSON object.
 Json::Value parse_object(const std::string& text)
 {
-    Json::Value value;
-    std::istringstream input(text);
-    std::string errors;
-    if (!Json::parseFromStream(Json::CharReaderBuilder(), input, &value, &errors) || !value.isObject()) {
-        return {};
-    }
-    return value;
+    return core::parse_json_object(text).value_or(Json::Value());
 }
 
 // Reads "healthy" and "draining". An endpoint is healthy if it answers 200 and does not report itself
--- a/packages/upstream/tests/upstream_test.cpp
+++ b/packages/upstream/tests/upstream_test.cpp
@@ -329,8 +329,9 @@
     CHECK(deadline->has_expired());
 }
 
-// Guards against load reports that are accepted although they are not valid numbers, and against reports of
-// an endpoint that no longer listens that show it as reachable.
+// Guards against load reports that are accepted although they are not valid numbers, against a report that
+// ends the probes of its endpoint, and against reports of an endpoint that no longer listens that show it as
+// reachable.
 TEST(upstream, probes_report_health_and_load)
 {
     std::string load = R"({"load":0.5})";
@@ -351,19 +352,23 @@
     const auto next_report = [&] {
         reports.clear();
         // The probe of the first report may have been sent before the change.
-        while (reports.size() < 2) {
-            context.run_one();
+        const core::instant end = std::chrono::steady_clock::now() + std::chrono::seconds(10);
+        while (reports.size() < 2 && std::chrono::steady_clock::now() < end) {
+            context.run_one_for(std::chrono::milliseconds(100));
         }
+        CHECK_TEXT(reports.size() >= 2, "the endpoint is no longer probed");
         return reports.back();
     };
     probe->set_targets({{"first", "127.0.0.1", server->port()}, {"bad", "no address", 1}});
     upstream::probe_report report = next_report();
     CHECK(report.identity == "first" && report.is_reachable && report.is_healthy && report.is_draining);
     CHECK(report.load == 0.5);
-    for (const char* text : {"", "{}", R"({"load":"high"})", R"({"load":-1})", "[1]"}) {
+    const std::string deeply_nested(5000, '[');
+    for (const std::string& text : {std::string(), std::string("{}"), std::string(R"({"load":"high"})"),
+                                    std::string(R"({"load":-1})"), std::string("[1]"), deeply_nested}) {
         load = text;
         report = next_report();
-        CHECK_FALSE_TEXT(report.load.has_value(), text);
+        CHECK_FALSE_TEXT(report.load.has_value(), text.c_str());
     }
     acceptor->close();
     probe->set_targets({{"gone", "127.0.0.1", address.port()}});
