Store: Leave the outcome of a write unknown after a broken response

The product's own client threw store_rejected, and quetzalctl said that nothing was written, after an unexpected 2xx or 3xx.

Cause: every status without a meaning of its own was taken for a rejection. Now only 4xx is one (and 503, as before); after anything else the outcome is unknown, and the caller reads the key.

--- a/packages/http/status.h
+++ b/packages/http/status.h
@@ -29,4 +29,12 @@
     return status < first_final ? status_class::interim : status_class::final_response;
 }
 
+// Returns whether the status says that the server did not execute the request because it rejects it (4xx).
+constexpr bool is_client_error(unsigned status)
+{
+    constexpr unsigned first_client_error = 400;
+    constexpr unsigned first_server_error = 500;
+    return status >= first_client_error && status < first_server_error;
+}
+
 } // namespace quetzalspan::http
--- a/packages/operator/store_connection.cpp
+++ b/packages/operator/store_connection.cpp
@@ -3,6 +3,7 @@
 #include "operator/store_connection.h"
 
 #include "core/json_text.h"
+#include "http/status.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/use_future.hpp>
@@ -148,7 +149,7 @@
             if (response.status == 409) {
                 return write_outcome::conflict;
             }
-            if (response.status >= 500) {
+            if (!http::is_client_error(response.status)) {
                 return write_outcome::unknown;
             }
             last_failure = "status " + std::to_string(response.status) + " " + response.body;
--- a/packages/operator/tests/http_test.cpp
+++ b/packages/operator/tests/http_test.cpp
@@ -198,6 +198,23 @@
     }
 }
 
+// Guards against a message that nothing was written although the store has responded with a status that it
+// does not use, and may have executed the write.
+TEST(operator_http, a_write_with_an_unexpected_status_is_unknown)
+{
+    std::atomic<unsigned> status{0};
+    const std::uint16_t port = serve([&status](const http::request&) -> asio::awaitable<http::response> {
+        co_return json_response(status, Json::Value(Json::objectValue));
+    });
+    admin::store_connection connection({{"127.0.0.1", port}}, std::chrono::seconds(30));
+    for (const unsigned unexpected : {201U, 302U, 500U}) {
+        status = unexpected;
+        CHECK_TRUE(admin::write_outcome::unknown == connection.write("config/current", "{}", 1));
+    }
+    status = 403;
+    CHECK_THROWS(admin::store_error, connection.write("config/current", "{}", 1));
+}
+
 // Guards against commands that work with fake hooks and fail over HTTP: instances are found through the
 // store, an apply loses its response, a write conflicts, and wait times out or succeeds.
 TEST(operator_http, commands_work_over_http)
--- a/packages/store/store_client.cpp
+++ b/packages/store/store_client.cpp
@@ -3,6 +3,7 @@
 #include "store/store_client.h"
 
 #include "core/log_event.h"
+#include "http/status.h"
 #include "store/json_call.h"
 
 #include <random>
@@ -241,7 +242,10 @@
         co_return result;
     }
     if (response->status != 200 && response->status != 409) {
-        throw_for_status(*response);
+        if (http::is_client_error(response->status)) {
+            throw_for_status(*response);
+        }
+        co_return result;
     }
     result.outcome = response->status == 200 ? write_outcome::applied : write_outcome::conflict;
     try {
@@ -269,10 +273,10 @@
     if (response->status == 404) {
         co_return lease_outcome::lost;
     }
-    if (response->status != 200) {
+    if (http::is_client_error(response->status)) {
         throw_for_status(*response);
     }
-    co_return lease_outcome::applied;
+    co_return response->status == 200 ? lease_outcome::applied : lease_outcome::unknown;
 }
 
 asio::awaitable<std::optional<http::response>> store_client::call(http::request message, call_kind kind,
--- a/packages/store/tests/store_client_test.cpp
+++ b/packages/store/tests/store_client_test.cpp
@@ -92,6 +92,34 @@
     UNSIGNED_LONGS_EQUAL(1, store.service->counters()["write"]);
 }
 
+// Guards against a call that the store may have executed and that is reported as rejected because of a status
+// that the store does not use.
+TEST(store_client, an_unexpected_status_leaves_the_outcome_unknown)
+{
+    unsigned status = 0;
+    const std::shared_ptr<http::server> other =
+        http::server::create(store.context.get_executor(), "127.0.0.1", 0, {},
+                             [&status](const http::request&) -> boost::asio::awaitable<http::response> {
+                                 http::response response;
+                                 response.status = status;
+                                 response.body = "{}";
+                                 co_return response;
+                             });
+    other->start();
+    store_options options = store.client_options();
+    options.addresses = {{"127.0.0.1", other->port()}};
+    client = std::make_unique<store_client>(store.context.get_executor(), options, store.client_hooks());
+    for (const unsigned unexpected : {201U, 302U}) {
+        status = unexpected;
+        CHECK_TRUE(write("k", "1", 0).outcome == write_outcome::unknown);
+        CHECK_TRUE(store.run(client->keep_alive(1)) == lease_outcome::unknown);
+    }
+    status = 403;
+    CHECK_THROWS(store_rejected, write("k", "1", 0));
+    CHECK_THROWS(store_rejected, store.run(client->keep_alive(1)));
+    other->stop();
+}
+
 // Guards against a client that stops working because one address is down.
 TEST(store_client, fails_over_to_another_address)
 {
