--- a/review/lab-3/cases.h
+++ b/review/lab-3/cases.h
@@ -17,5 +17,6 @@
 
 // Each runs a case and returns its exit code.
 int restored_store(record& log, const std::string& folder, bool has_trouble);
+int silent_channels(record& log, const std::string& folder, bool has_trouble);
 
 } // namespace lab
--- a/review/lab-3/fleet.cpp
+++ b/review/lab-3/fleet.cpp
@@ -91,7 +91,7 @@
         instant next = std::chrono::steady_clock::now() + heartbeat_interval;
         while (!m_is_stopped) {
             std::this_thread::sleep_for(std::chrono::milliseconds(10));
-            if (std::chrono::steady_clock::now() >= next) {
+            if (!m_is_leaving && std::chrono::steady_clock::now() >= next) {
                 beat();
                 next += heartbeat_interval;
             }
@@ -114,6 +114,10 @@
 void endpoint::beat()
 {
     const std::string sequence = std::to_string(m_sequence++);
+    if (m_registry.get("servers/" + m_options.id)) {
+        // The entry changes when more than the sequence changes.
+        return;
+    }
     m_registry.put("servers/" + m_options.id,
                    R"({"address":")" + m_options.host + ":" + std::to_string(m_options.port) +
                        R"(","born":)" + std::to_string(m_born) + R"(,"info":{"service":")" +
@@ -122,6 +126,13 @@
                        sequence + R"(,"coldRemainingMs":0}})");
 }
 
+void endpoint::leave()
+{
+    m_is_leaving = true;
+    std::this_thread::sleep_for(std::chrono::milliseconds(20));
+    m_registry.remove("servers/" + m_options.id);
+}
+
 std::vector<run> endpoint::runs()
 {
     const std::lock_guard<std::mutex> guard(m_mutex);
--- a/review/lab-3/fleet.h
+++ b/review/lab-3/fleet.h
@@ -62,6 +62,8 @@
     std::vector<run> runs();
     // Writes the next heartbeat at once.
     void beat();
+    // Removes its entry from the store and goes on serving.
+    void leave();
     const options& given() const { return m_options; }
     void add_run(const message& request);
     static std::string answer_to(const message& request, int status, const std::string& body);
@@ -77,6 +79,7 @@
     override_handler m_handler;
     std::uint64_t m_sequence = 1;
     std::int64_t m_born = 0;
+    std::atomic<bool> m_is_leaving{false};
     std::atomic<bool> m_is_stopped{false};
     std::thread m_beats;
     listener m_listener;
--- a/review/lab-3/main.cpp
+++ b/review/lab-3/main.cpp
@@ -42,6 +42,8 @@
     try {
         if (name == "restored-store") {
             result = lab::restored_store(log, folder, has_trouble);
+        } else if (name == "silent-channels") {
+            result = lab::silent_channels(log, folder, has_trouble);
         }
     } catch (const std::exception& error) {
         log.line(std::string("the case could not run: ") + error.what());
--- a/review/lab-3/store.cpp
+++ b/review/lab-3/store.cpp
@@ -92,9 +92,17 @@
 
 void store::serve(connection& client)
 {
+    const std::uint64_t generation = m_generation;
     while (const std::optional<message> request = client.read_message()) {
+        if (generation != m_generation) {
+            // What is sent on a silent connection does not arrive.
+            continue;
+        }
         const std::string text = answer(*request);
         std::this_thread::sleep_for(std::chrono::milliseconds(m_delay_ms));
+        if (generation != m_generation) {
+            continue;
+        }
         if (text.empty() || !client.write_all(text)) {
             return;
         }
@@ -405,6 +413,11 @@
     come_back();
 }
 
+void store::silence_open_connections()
+{
+    ++m_generation;
+}
+
 void store::set_delay(std::chrono::milliseconds delay)
 {
     m_delay_ms = static_cast<int>(delay.count());
--- a/review/lab-3/store.h
+++ b/review/lab-3/store.h
@@ -39,6 +39,8 @@
     void come_back();
     void come_back_from_copy();
 
+    // From now on, nothing passes on the connections that are open at this moment; new ones work.
+    void silence_open_connections();
     // Delays each answer; zero for none.
     void set_delay(std::chrono::milliseconds delay);
     // Ends all leases, as the store may do while it is away.
@@ -93,6 +95,8 @@
     std::uint64_t m_era = 1;
     bool m_is_away = false;
     std::atomic<int> m_delay_ms{0};
+    // Connections of an earlier generation are silent.
+    std::atomic<std::uint64_t> m_generation{0};
     std::atomic<bool> m_is_stopped{false};
     std::thread m_expiry;
     std::unique_ptr<listener> m_listener;
