--- a/review/lab-3/cases.h
+++ b/review/lab-3/cases.h
@@ -15,8 +15,7 @@
 void sleep_until(const record& log, std::int64_t milliseconds);
 std::int64_t environment_number(const char* name, std::int64_t fallback);
 
-// Each runs a case and returns its exit code.
-int restored_store(record& log, const std::string& folder, bool has_trouble);
+// Runs the case and returns its exit code.
 int silent_channels(record& log, const std::string& folder, bool has_trouble);
 
 } // namespace lab
--- a/review/lab-3/main.cpp
+++ b/review/lab-3/main.cpp
@@ -40,9 +40,7 @@
     }
     int result = lab::exit_not_run;
     try {
-        if (name == "restored-store") {
-            result = lab::restored_store(log, folder, has_trouble);
-        } else if (name == "silent-channels") {
+        if (name == "silent-channels") {
             result = lab::silent_channels(log, folder, has_trouble);
         }
     } catch (const std::exception& error) {
--- a/review/lab-3/store.cpp
+++ b/review/lab-3/store.cpp
@@ -99,7 +99,6 @@
             continue;
         }
         const std::string text = answer(*request);
-        std::this_thread::sleep_for(std::chrono::milliseconds(m_delay_ms));
         if (generation != m_generation) {
             continue;
         }
@@ -111,8 +110,7 @@
 
 std::string store::respond(int status, const Json::Value& body) const
 {
-    return make_response(status, {{"Content-Type", "application/json"}, {"Store-Era", std::to_string(m_era)}},
-                         to_text(body));
+    return make_response(status, {{"Content-Type", "application/json"}, {"Store-Era", "1"}}, to_text(body));
 }
 
 std::string store::answer(const message& request)
@@ -122,9 +120,6 @@
         return watch(request.target);
     }
     const std::lock_guard<std::mutex> guard(m_mutex);
-    if (m_is_away) {
-        return {};
-    }
     if (path == "/kv-range") {
         return range(request.target);
     }
@@ -198,9 +193,8 @@
     const int wait_ms = std::atoi(query_parameter(target, "waitMs").c_str());
     const instant end = std::chrono::steady_clock::now() + std::chrono::milliseconds(wait_ms);
     std::unique_lock<std::mutex> lock(m_mutex);
-    const std::uint64_t era = m_era;
     while (true) {
-        if (m_is_away || m_is_stopped || m_era != era) {
+        if (m_is_stopped) {
             return {};
         }
         if (after < m_history_begins || after > m_content.revision) {
@@ -314,9 +308,6 @@
 void store::expire_leases()
 {
     const std::lock_guard<std::mutex> guard(m_mutex);
-    if (m_is_away) {
-        return;
-    }
     std::set<std::uint64_t> ended;
     for (const auto& [id, entry] : m_content.leases) {
         if (entry.ends <= std::chrono::steady_clock::now()) {
@@ -347,22 +338,16 @@
     }
 }
 
-bool store::put(const std::string& key, const std::string& value)
+void store::put(const std::string& key, const std::string& value)
 {
     const std::lock_guard<std::mutex> guard(m_mutex);
-    if (!m_is_away) {
-        write(key, value, 0);
-    }
-    return !m_is_away;
+    write(key, value, 0);
 }
 
-bool store::remove(const std::string& key)
+void store::remove(const std::string& key)
 {
     const std::lock_guard<std::mutex> guard(m_mutex);
-    if (!m_is_away) {
-        erase(key);
-    }
-    return !m_is_away;
+    erase(key);
 }
 
 std::optional<std::string> store::get(const std::string& key)
@@ -372,63 +357,9 @@
     return found == m_content.items.end() ? std::nullopt : std::optional<std::string>(found->second.value);
 }
 
-void store::take_copy()
-{
-    const std::lock_guard<std::mutex> guard(m_mutex);
-    m_copy = m_content;
-}
-
-void store::go_away()
-{
-    {
-        const std::lock_guard<std::mutex> guard(m_mutex);
-        m_is_away = true;
-        m_changed.notify_all();
-    }
-    m_listener->go_away();
-}
-
-void store::come_back()
-{
-    {
-        const std::lock_guard<std::mutex> guard(m_mutex);
-        m_is_away = false;
-        // Leases pause while the store is away.
-        for (auto& [id, entry] : m_content.leases) {
-            entry.ends = std::chrono::steady_clock::now() + entry.lifetime;
-        }
-    }
-    m_listener->come_back();
-}
-
-void store::come_back_from_copy()
-{
-    {
-        const std::lock_guard<std::mutex> guard(m_mutex);
-        m_content = m_copy;
-        m_changes.clear();
-        m_history_begins = m_content.revision;
-        ++m_era;
-    }
-    come_back();
-}
-
 void store::silence_open_connections()
 {
     ++m_generation;
 }
 
-void store::set_delay(std::chrono::milliseconds delay)
-{
-    m_delay_ms = static_cast<int>(delay.count());
-}
-
-void store::end_all_leases()
-{
-    const std::lock_guard<std::mutex> guard(m_mutex);
-    while (!m_content.leases.empty()) {
-        drop_lease(m_content.leases.begin()->first);
-    }
-}
-
 } // namespace lab
--- a/review/lab-3/store.h
+++ b/review/lab-3/store.h
@@ -25,26 +25,13 @@
     store(const store&) = delete;
     store& operator=(const store&) = delete;
 
-    // Writes and removals of the operator and of endpoints, acknowledged on return. Return false while the
-    // store is away.
-    bool put(const std::string& key, const std::string& value);
-    bool remove(const std::string& key);
+    // Writes and removals of the operator and of endpoints, acknowledged on return.
+    void put(const std::string& key, const std::string& value);
+    void remove(const std::string& key);
     std::optional<std::string> get(const std::string& key);
 
-    // Keeps a copy of the present state, to which restore() returns.
-    void take_copy();
-    // While the store is away, connections to it are refused.
-    void go_away();
-    // Comes back with the state that it had, or from the copy with a higher Store-Era.
-    void come_back();
-    void come_back_from_copy();
-
     // From now on, nothing passes on the connections that are open at this moment; new ones work.
     void silence_open_connections();
-    // Delays each answer; zero for none.
-    void set_delay(std::chrono::milliseconds delay);
-    // Ends all leases, as the store may do while it is away.
-    void end_all_leases();
 
 private:
     struct item {
@@ -88,13 +75,9 @@
     std::mutex m_mutex;
     std::condition_variable m_changed;
     content m_content;
-    content m_copy;
     std::deque<change> m_changes;
     // Watches from a lower revision get 410.
     std::uint64_t m_history_begins = 100;
-    std::uint64_t m_era = 1;
-    bool m_is_away = false;
-    std::atomic<int> m_delay_ms{0};
     // Connections of an earlier generation are silent.
     std::atomic<std::uint64_t> m_generation{0};
     std::atomic<bool> m_is_stopped{false};
